--- a/packages/core/src/entry/entry-call.ts
+++ b/packages/core/src/entry/entry-call.ts
@@ -17,7 +17,10 @@
 	/** Names the caller's request within the node. */
 	readonly entryId: number;
 	readonly action: ActionContext;
+	/** The caller's own name for the request; empty when it has none. */
+	readonly requestId: string;
 	readonly service: string;
+	readonly answerBytesLimit: number;
 	readonly policy: RequestPolicy;
 	/** Inherited from the action. */
 	readonly importance: Importance;
@@ -103,6 +106,8 @@
 	phase: EntryPhase;
 	sending: Sending | undefined;
 	asks: number;
+	/** Nodes that may have handed the call to their upstream. */
+	attempts: number;
 	/** Whether an earlier attempt may have run. */
 	mayHaveRun: boolean;
 	lastError: CallError | undefined;
--- a/packages/core/src/entry/entry.ts
+++ b/packages/core/src/entry/entry.ts
@@ -54,6 +54,7 @@
 			phase: EntryPhase.Locating,
 			sending: undefined,
 			asks: 0,
+			attempts: 0,
 			mayHaveRun: false,
 			lastError: undefined,
 			lastConfirmed: false,
@@ -230,8 +231,11 @@
 		const frame: CallFrame = {
 			callId,
 			action: request.action,
+			requestId: request.requestId,
 			service: request.service,
 			kind: request.policy.kind,
+			semantics: request.policy.semantics,
+			answerBytesLimit: request.answerBytesLimit,
 			importance: request.importance,
 			priority: request.priority,
 			timeLeftMilliseconds: timeToHandDown(request.deadline, now, this.#definition.loads.link(name)),
@@ -295,6 +299,11 @@
 			return false;
 		}
 
+		state.attempts += 1;
+		if (state.attempts >= (state.request.policy.attempts ?? Infinity)) {
+			return false;
+		}
+
 		const {retryShare = true, retryAccount = true} = this.#definition.mechanisms ?? {};
 		return (!retryShare || this.#shareOf(state.request.service).spend()) && (state.request.account.spend() || !retryAccount);
 	}
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -24,6 +24,7 @@
 	Overloaded = 'overloaded',
 	InsufficientTime = 'insufficient-time',
 	NoUpstream = 'no-upstream',
+	NotServed = 'not-served',
 	NotReady = 'not-ready',
 	Leaving = 'leaving',
 	Preempted = 'preempted',
@@ -74,6 +75,7 @@
 	[ErrorKind.Overloaded]: refusal('The service has no capacity for this request now'),
 	[ErrorKind.InsufficientTime]: refusal('The request cannot finish in the time left'),
 	[ErrorKind.NoUpstream]: rejection(503, 'No upstream of the service is available'),
+	[ErrorKind.NotServed]: refusal('The upstream there belongs to another service or incarnation'),
 	[ErrorKind.NotReady]: refusal('The node is not ready'),
 	[ErrorKind.Leaving]: refusal('The upstream is leaving'),
 	[ErrorKind.Preempted]: failure(503, 'More important work took the place of this request'),
@@ -92,6 +94,27 @@
 	[ErrorKind.StoreUnavailable]: rejection(503, 'The store does not answer'),
 };
 
+/** Statuses that promise that a request has not run and never will. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const refusedStatus = 503;
+const brokenStatus = 502;
+
+/**
+ * Status of an error with its outcome: a status that promises `not-run` is given exactly when that is proven.
+ *
+ * @example
+ * statusOf(ErrorKind.TimedOut, Outcome.NotRun); // 503
+ * statusOf(ErrorKind.Preempted, Outcome.Unknown); // 502
+ */
+export function statusOf(kind: ErrorKind, outcome: Outcome): number {
+	const {status} = answers[kind];
+	if (outcome === Outcome.NotRun) {
+		return status >= 500 ? refusedStatus : status;
+	}
+
+	return notRunStatuses.has(status) ? brokenStatus : status;
+}
+
 /**
  * An error of the closed list.
  *
--- a/packages/core/src/events/event.ts
+++ b/packages/core/src/events/event.ts
@@ -25,6 +25,7 @@
 	MemberLeaving = 'member-leaving',
 	LimitChanged = 'limit-changed',
 	Superseded = 'superseded',
+	AnnouncementPassedOver = 'announcement-passed-over',
 }
 
 /** What happened. */
@@ -32,6 +33,8 @@
 	readonly type: EventType;
 	/** Customer action, where the event belongs to one. */
 	readonly action?: string;
+	/** The caller's own name for the request. */
+	readonly request?: string;
 	readonly service?: string;
 	readonly kind?: string;
 	/** Short text: a reason, a name, a number. */
--- a/packages/core/src/manifest/model.ts
+++ b/packages/core/src/manifest/model.ts
@@ -4,44 +4,22 @@
  * @module
  */
 import * as valibot from 'valibot';
-import {Importance} from '../importance.js';
+import {
+	name, requestKindSchema, Semantics, wholeNumber, type RequestPolicy,
+} from './request-policy.js';
+import {
+	callerLimitsSchema, routeSchema, toRoute, type CallerLimits, type Route,
+} from './routes.js';
 
-/** Whether a request may be sent more than once. */
-export enum Semantics {
-	Idempotent = 'idempotent',
-	AtMostOnce = 'at-most-once',
-}
+export {Semantics, type RequestPolicy} from './request-policy.js';
 
-const maximumWaitMilliseconds = 600_000;
 const maximumAnswerBytes = 64 * 1024 * 1024;
+const standardAnswerBytes = 1024 * 1024;
 const maximumRetries = 16;
 const maximumRememberSeconds = 86_400;
 
-const wholeNumber = (minimum: number, maximum: number) => valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(minimum), valibot.maxValue(maximum));
-const name = valibot.pipe(valibot.string(), valibot.regex(/^[a-z][a-z\d-]{0,62}$/u, 'Expected a name of lower-case letters, digits and hyphens'));
-
-const callSchema = valibot.strictObject({
-	service: name,
-	kind: name,
-	derivedKey: valibot.optional(valibot.boolean(), false),
-});
-
-const requestKindSchema = valibot.strictObject({
-	kind: name,
-	methods: valibot.pipe(valibot.array(valibot.pipe(valibot.string(), valibot.regex(/^[A-Z]+$/u, 'Expected an HTTP method in capitals'))), valibot.minLength(1)),
-	path: valibot.pipe(valibot.string(), valibot.regex(/^\/[^*?#\s]*\*?$/u, 'Expected a path, with at most a closing *')),
-	importance: valibot.enum(Importance),
-	semantics: valibot.enum(Semantics),
-	waitMilliseconds: wholeNumber(1, maximumWaitMilliseconds),
-	guaranteedShare: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0), valibot.maxValue(0.5)), 0),
-	/** Left out, all but the least important work may leave its region. */
-	crossRegion: valibot.optional(valibot.boolean()),
-	customer: valibot.optional(valibot.boolean(), true),
-	calls: valibot.optional(valibot.array(callSchema), []),
-});
-
 const serviceSchema = valibot.strictObject({
-	answerBytesLimit: valibot.optional(wholeNumber(1, maximumAnswerBytes), 1024 * 1024),
+	answerBytesLimit: valibot.optional(wholeNumber(1, maximumAnswerBytes), standardAnswerBytes),
 	requests: valibot.pipe(valibot.array(requestKindSchema), valibot.minLength(1)),
 });
 
@@ -54,12 +32,25 @@
 	services: valibot.record(name, serviceSchema),
 });
 
+/** Schema of the manifest as routes. Fields that it does not name are passed over, since the writer may be newer. */
+export const routedManifestSchema = valibot.object({
+	/** Revision that the document itself carries. */
+	version: valibot.optional(valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(1))),
+	routes: valibot.record(valibot.string(), routeSchema),
+	services: valibot.record(valibot.string(), valibot.object({})),
+	limits: valibot.optional(callerLimitsSchema, {}),
+});
+
 /** A checked manifest. */
-export type Manifest = valibot.InferOutput<typeof manifestSchema>;
+export type Manifest = valibot.InferOutput<typeof manifestSchema> & {
+	/** Routes by host and prefix; without any, the first part of a path names the service. */
+	readonly routes?: readonly Route[];
+	readonly limits?: CallerLimits;
+	/** Revision that the document itself carries. */
+	readonly version?: number;
+};
 /** What the manifest says of one service. */
 export type ServicePolicy = valibot.InferOutput<typeof serviceSchema>;
-/** What the manifest says of one request kind. */
-export type RequestPolicy = valibot.InferOutput<typeof requestKindSchema>;
 
 /** One mistake in a manifest. */
 export type ManifestIssue = {
@@ -81,6 +72,10 @@
  * if (result.success) use(result.manifest);
  */
 export function safeParseManifest(document: unknown): ManifestResult {
+	if (typeof document === 'object' && document !== null && 'routes' in document) {
+		return parseRouted(document);
+	}
+
 	const result = valibot.safeParse(manifestSchema, document);
 	if (!result.success) {
 		return {success: false, issues: result.issues.map(issue => toManifestIssue(issue))};
@@ -90,6 +85,47 @@
 	return issues.length > 0 ? {success: false, issues} : {success: true, manifest: result.output};
 }
 
+function parseRouted(document: object): ManifestResult {
+	const result = valibot.safeParse(routedManifestSchema, document);
+	if (!result.success) {
+		return {success: false, issues: result.issues.map(issue => toManifestIssue(issue))};
+	}
+
+	const {routes: documents, services, limits, version} = result.output;
+	const entries = Object.entries(documents).map(([routeName, route]) => ({routeName, route: toRoute(routeName, route)}));
+	const issues = entries.flatMap(({routeName, route}) => findRouteIssues(routeName, route, services));
+	if (issues.length > 0) {
+		return {success: false, issues};
+	}
+
+	const servicePolicies = Object.keys(services).map(service => [service, {answerBytesLimit: standardAnswerBytes, requests: []}]);
+	return {
+		success: true,
+		manifest: {
+			name: 'routes',
+			retriesPerAction: 1,
+			rememberForSeconds: 600,
+			retryShare: 0.1,
+			services: Object.fromEntries(servicePolicies) as Manifest['services'],
+			routes: entries.flatMap(({route}) => route ?? []),
+			limits,
+			...(version === undefined ? {} : {version}),
+		},
+	};
+}
+
+function findRouteIssues(routeName: string, route: Route | undefined, services: Readonly<Record<string, unknown>>): ManifestIssue[] {
+	const path = ['routes', routeName];
+	if (route === undefined) {
+		return [{path, message: 'Expected a service or a split'}];
+	}
+
+	const unknown = route.services.filter(({service}) => !Object.hasOwn(services, service));
+	const issues = unknown.map(({service}) => ({path, message: `The manifest has no service ${service}`}));
+	const weight = route.services.reduce((sum, part) => sum + part.weight, 0);
+	return weight > 0 ? issues : [...issues, {path, message: 'The weights of the split add up to 0'}];
+}
+
 function toManifestIssue(issue: valibot.BaseIssue<unknown>): ManifestIssue {
 	const path = (issue.path ?? []).map(item => item.key as string | number);
 	return {path, message: issue.message};
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -180,18 +180,28 @@
 
 	#learnOfOwn(member: Member, now: number): MembershipEffect[] {
 		if (member.incarnation > this.#own.incarnation) {
-			return [{type: MembershipEffectType.Superseded, by: member}];
+			return hasSameAddress(member, this.#own) ? this.#outbid(member, now) : [{type: MembershipEffectType.Superseded, by: member}];
 		}
 
 		const isWrong = member.incarnation === this.#own.incarnation && member.version >= this.#own.version && member.liveness !== Liveness.Alive;
 		return isWrong ? this.#setOwn({...this.#own, version: member.version + 1}, now) : [];
 	}
 
+	/** Nobody else can hold the own address, so a statement of a later start is an earlier life's, made before the clock was set back. */
+	#outbid(member: Member, now: number): MembershipEffect[] {
+		return this.#setOwn({...this.#own, incarnation: member.incarnation + 1, version: 1}, now);
+	}
+
 	#learnOfOther(member: Member, now: number): MembershipEffect[] {
+		const isFirst = this.others.length === 0;
 		if (!this.#table.merge(member, now)) {
 			return [];
 		}
 
+		if (isFirst) {
+			this.#nextExchangeAt = now;
+		}
+
 		if (this.#isSpreading) {
 			this.#memberNews.add(member.name, this.#table.size);
 		}
@@ -249,7 +259,7 @@
 
 	#callSeeds(): MembershipEffect[] {
 		this.#seedCallsDue = false;
-		return this.#seeds.flatMap(seed => [this.#send(seed, GossipType.Ping, 0), {type: MembershipEffectType.Exchange as const, to: seed}]);
+		return this.#seeds.map(seed => this.#send(seed, GossipType.Ping, 0));
 	}
 
 	/** Now and then a member held dead is called, so that the two halves of a cut find each other again. */
@@ -294,7 +304,7 @@
 
 		const {exchangeIntervalMilliseconds} = this.#definition.times;
 		this.#nextExchangeAt = now + (exchangeIntervalMilliseconds * (0.75 + (this.#definition.random() / 2)));
-		return this.choose(1).map(member => ({type: MembershipEffectType.Exchange, to: addressOf(member)}));
+		return this.choose(1).map(member => ({type: MembershipEffectType.Exchange, to: member}));
 	}
 
 	#sendTo(name: string, type: GossipType, sequence: number, target = ''): MembershipEffect[] {
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -36,7 +36,7 @@
 
 export enum MembershipEffectType {
 	Send = 'gossip-send',
-	/** Compare views with the node at the address. */
+	/** Compare views with the member. */
 	Exchange = 'gossip-exchange',
 	/** The view has changed. */
 	Changed = 'members-changed',
@@ -48,7 +48,7 @@
 
 export type MembershipEffect
 	= | {readonly type: MembershipEffectType.Send; readonly to: Address; readonly message: GossipMessage}
-		| {readonly type: MembershipEffectType.Exchange; readonly to: Address}
+		| {readonly type: MembershipEffectType.Exchange; readonly to: Member}
 		| {readonly type: MembershipEffectType.Changed; readonly member: Member}
 		| {readonly type: MembershipEffectType.Heard; readonly rumor: Rumor}
 		| {readonly type: MembershipEffectType.Superseded; readonly by: Member};
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -6,6 +6,7 @@
 import type {ErrorKind, Outcome} from './errors.js';
 import type {Importance} from './importance.js';
 import type {GuardLoad} from './admission/guard.js';
+import type {Semantics} from './manifest/request-policy.js';
 
 /** Header names and values in turn, as they came. */
 export type RawHeaders = readonly string[];
@@ -17,7 +18,7 @@
 	readonly target: string;
 	readonly headers: RawHeaders;
 	readonly body: Uint8Array;
-	/** Digest of method, target and body. */
+	/** Digest of method, target and body; empty when no key needs it. */
 	readonly digest: string;
 };
 
@@ -40,8 +41,12 @@
 export type CallFrame = {
 	readonly callId: string;
 	readonly action: ActionContext;
+	/** The caller's own name for the request; empty when it has none. */
+	readonly requestId: string;
 	readonly service: string;
 	readonly kind: string;
+	readonly semantics: Semantics;
+	readonly answerBytesLimit: number;
 	readonly importance: Importance;
 	readonly priority: number;
 	readonly timeLeftMilliseconds: number;
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -94,12 +94,12 @@
 				[EntryEffectType.AnswerCaller]: ({entryId, answer, request}) => {
 					this.#endNested(entryId, now);
 					const details = {
-						type: EventType.Answered, action: request.action.actionId, service: request.service, kind: request.policy.kind, detail: answer.error?.kind ?? answer.outcome,
+						type: EventType.Answered, action: request.action.actionId, request: request.requestId, service: request.service, kind: request.policy.kind, detail: answer.error?.kind ?? answer.outcome,
 					};
 					return [this.#parts.makeEvent(details), {type: NodeEffectType.AnswerCaller, entryId, answer}];
 				},
 				[EntryEffectType.Retried]: ({request, error}) => [this.#parts.makeEvent({
-					type: EventType.Retried, action: request.action.actionId, service: request.service, kind: request.policy.kind, detail: error.kind,
+					type: EventType.Retried, action: request.action.actionId, request: request.requestId, service: request.service, kind: request.policy.kind, detail: error.kind,
 				})],
 				[EntryEffectType.StaleAnswer]: ({callId}) => [this.#parts.makeEvent({type: EventType.StaleAnswer, detail: callId})],
 				[EntryEffectType.RangeOutdated]: ({service}) => {
@@ -177,10 +177,12 @@
 		return {
 			type: NodeEffectType.Dispatch,
 			callId: frame.callId,
+			requestId: frame.requestId,
+			semantics: frame.semantics,
 			request: frame.request,
 			...formatTraceContext(context, spanId, frame.callId),
 			timeLeftMilliseconds,
-			answerBytesLimit: this.#parts.policies.get(`${frame.service}/${frame.kind}`)?.answerBytesLimit ?? 0,
+			answerBytesLimit: frame.answerBytesLimit,
 		};
 	}
 
@@ -191,7 +193,6 @@
 	}
 
 	/** Calls that the upstream made for a cancelled call lose their caller. */
-
 	#cancelNested(callId: string, now: number): NodeEffect[] {
 		const nested = [...this.#nestedParents].filter(([, parent]) => parent === callId).map(([entryId]) => entryId);
 		return nested.flatMap(entryId => this.fromEntry(this.entry.callerGone(entryId), now));
@@ -207,7 +208,7 @@
 
 	#callEvent(type: EventType, frame: CallFrame, detail: string): NodeEffect {
 		return this.#parts.makeEvent({
-			type, action: frame.action.actionId, service: frame.service, kind: frame.kind, detail,
+			type, action: frame.action.actionId, request: frame.requestId, service: frame.service, kind: frame.kind, detail,
 		});
 	}
 
--- a/packages/core/src/node/caller-requests.ts
+++ b/packages/core/src/node/caller-requests.ts
@@ -13,6 +13,7 @@
 import {
 	matchRequest, Semantics, type Manifest, type RequestPolicy,
 } from '../manifest/model.js';
+import type {RouteTable, SplitChooser} from '../manifest/routes.js';
 import type {CallError} from '../messages.js';
 import type {EnclosingCall} from '../serving/serving.js';
 import type {CallerRequest} from './effects.js';
@@ -22,6 +23,9 @@
 /** What is needed beside the request. */
 export type RequestSurroundings = {
 	readonly manifest: Manifest;
+	/** Routes of the manifest, if it has any. */
+	readonly routes: RouteTable | undefined;
+	readonly splits: SplitChooser;
 	readonly enclosing: (callId: string | undefined) => EnclosingCall | undefined;
 	/** Makes a trace id of 32 hexadecimal digits. */
 	readonly newActionId: () => string;
@@ -40,11 +44,12 @@
  * const result = toEntryRequest(callerRequest, surroundings, now);
  */
 export function toEntryRequest(caller: CallerRequest, surroundings: RequestSurroundings, now: number): RequestResult {
-	const policy = findPolicy(caller, surroundings.manifest);
-	if ('detail' in policy) {
-		return {success: false, error: policy};
+	const found = findPolicy(caller, surroundings);
+	if ('detail' in found) {
+		return {success: false, error: found};
 	}
 
+	const {service, policy} = found;
 	const isKeyInvalid = caller.key !== undefined && !keyPattern.test(caller.key);
 	if (isKeyInvalid) {
 		return {success: false, error: {kind: ErrorKind.Malformed, detail: 'idempotency-key: expected 1 to 128 visible ASCII characters'}};
@@ -61,7 +66,9 @@
 		entryRequest: {
 			entryId: caller.entryId,
 			action,
-			service: caller.service,
+			requestId: caller.requestId ?? '',
+			service,
+			answerBytesLimit: surroundings.manifest.services[service]?.answerBytesLimit ?? 0,
 			policy,
 			importance,
 			priority: enclosing?.frame.priority ?? priorityOf(importance, cohortOf(action.actionId)),
@@ -73,15 +80,26 @@
 	};
 }
 
-function findPolicy(caller: CallerRequest, manifest: Manifest): RequestPolicy | CallError {
+type FoundPolicy = {readonly service: string; readonly policy: RequestPolicy};
+
+function findPolicy(caller: CallerRequest, {manifest, routes, splits}: RequestSurroundings): FoundPolicy | CallError {
+	const {method, target} = caller.request;
+	if (routes !== undefined) {
+		const route = routes.find(caller.host ?? '', target);
+		return route === undefined
+			? {kind: ErrorKind.UnknownRequestKind, detail: `No route of ${caller.host ?? ''} begins ${target.split('?')[0]}`}
+			: {service: splits.choose(route), policy: route.policy};
+	}
+
 	const service = manifest.services[caller.service];
 	if (service === undefined) {
 		return {kind: ErrorKind.UnknownService, detail: `The manifest has no service ${caller.service}`};
 	}
 
-	const {method, target} = caller.request;
-	return matchRequest(service, method, target)
-		?? {kind: ErrorKind.UnknownRequestKind, detail: `Service ${caller.service} has no request kind for ${method} ${target.split('?')[0]}`};
+	const policy = matchRequest(service, method, target);
+	return policy === undefined
+		? {kind: ErrorKind.UnknownRequestKind, detail: `Service ${caller.service} has no request kind for ${method} ${target.split('?')[0]}`}
+		: {service: caller.service, policy};
 }
 
 function toAction(context: TraceContext | undefined, enclosing: EnclosingCall | undefined, surroundings: RequestSurroundings): EntryRequest['action'] {
@@ -110,7 +128,7 @@
 	}
 
 	const derived = enclosing === undefined ? undefined : derivedKey(caller, policy, enclosing, surroundings.manifest);
-	return derived === undefined ? {key: surroundings.newKey(), keyIsOwn: true} : {key: derived, keyIsOwn: false};
+	return {key: derived, keyIsOwn: false};
 }
 
 /** A retry of the enclosing call makes the same inner call again, so the key comes from the action. */
--- a/packages/core/src/node/effects.ts
+++ b/packages/core/src/node/effects.ts
@@ -5,6 +5,7 @@
  */
 import type {EventDetails, NodeEvent} from '../events/event.js';
 import type {HybridTime} from '../events/hybrid-clock.js';
+import type {Semantics} from '../manifest/request-policy.js';
 import type {Member} from '../membership/member.js';
 import type {Address, GossipMessage} from '../membership/messages.js';
 import type {
@@ -17,6 +18,13 @@
 export type CallerRequest = {
 	/** Names the request within the node. */
 	readonly entryId: number;
+	/** Where a manifest of routes looks the request up. */
+	readonly host?: string;
+	/** The caller's own name for the request. */
+	readonly requestId?: string;
+	/** Whether the own upstream makes the call. */
+	readonly isFromUpstream?: boolean;
+	/** Service that the path names; with a manifest of routes it says nothing. */
 	readonly service: string;
 	readonly request: RequestPayload;
 	/** The caller's idempotency key. */
@@ -29,11 +37,26 @@
 /** What an upstream says of itself. */
 export type Announcement = {
 	readonly service: string;
+	/** HOST:PORT. */
+	readonly address?: string;
+	/** Connections that the upstream takes; left out, as many as it has slots. */
+	readonly connections?: number | undefined;
 	readonly slots: number;
 	readonly state: AnnouncedState;
 	readonly load: {readonly inFlight: number; readonly healthy: boolean} | undefined;
+	/** Incarnation of the upstream. */
+	readonly instance?: string | undefined;
+	/** Milliseconds since the epoch at the incarnation's start. */
+	readonly birth?: number | undefined;
+	/** Grows with each announcement of the incarnation. */
+	readonly sequence?: number | undefined;
+	/** How much longer the upstream works slowly after its start. */
+	readonly coldMilliseconds?: number | undefined;
 };
 
+/** An upstream's word that it goes away. */
+export type Withdrawal = Pick<Announcement, 'instance' | 'birth'>;
+
 export enum AnnouncedState {
 	Starting = 'starting',
 	Ready = 'ready',
@@ -45,6 +68,7 @@
 	SendAnswer = 'send-answer',
 	SendCancel = 'send-cancel',
 	AnswerCaller = 'answer-caller',
+	UpstreamAnnounced = 'upstream-announced',
 	Dispatch = 'dispatch',
 	CancelDispatch = 'cancel-dispatch',
 	SendGossip = 'send-gossip',
@@ -65,10 +89,11 @@
 		| {readonly type: NodeEffectType.SendAnswer; readonly frame: AnswerFrame; readonly clock: HybridTime}
 		| {readonly type: NodeEffectType.SendCancel; readonly to: Member; readonly callId: string}
 		| {readonly type: NodeEffectType.AnswerCaller; readonly entryId: number; readonly answer: CallerAnswer}
-		| {readonly type: NodeEffectType.Dispatch; readonly callId: string; readonly request: RequestPayload; readonly traceparent: string; readonly tracestate: string; readonly timeLeftMilliseconds: number; readonly answerBytesLimit: number}
+		| {readonly type: NodeEffectType.UpstreamAnnounced; readonly announcement: Announcement}
+		| {readonly type: NodeEffectType.Dispatch; readonly callId: string; readonly requestId: string; readonly semantics: Semantics; readonly request: RequestPayload; readonly traceparent: string; readonly tracestate: string; readonly timeLeftMilliseconds: number; readonly answerBytesLimit: number}
 		| {readonly type: NodeEffectType.CancelDispatch; readonly callId: string}
 		| {readonly type: NodeEffectType.SendGossip; readonly to: Address; readonly message: GossipMessage; readonly clock: HybridTime}
-		| {readonly type: NodeEffectType.ExchangeMembers; readonly to: Address}
+		| {readonly type: NodeEffectType.ExchangeMembers; readonly to: Member}
 		| {readonly type: NodeEffectType.SendOnce; readonly to: Member; readonly from: Holder; readonly message: OnceMessage}
 		| {readonly type: NodeEffectType.ReadRecord; readonly service: string}
 		| {readonly type: NodeEffectType.PullRecord; readonly service: string; readonly from: Member}
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -13,6 +13,7 @@
 import {HybridClock, type HybridTime} from '../events/hybrid-clock.js';
 import {AdoptionResult, ManifestAdoption, type Revision} from '../manifest/adoption.js';
 import {Semantics, type RequestPolicy} from '../manifest/model.js';
+import {RouteTable, SplitChooser} from '../manifest/routes.js';
 import {UpstreamState, type Member} from '../membership/member.js';
 import {Membership, type MembershipTimes} from '../membership/membership.js';
 import type {GossipMessage} from '../membership/messages.js';
@@ -29,10 +30,11 @@
 import {
 	ServingEffectType, type ServingEffect, type UpstreamFailure,
 } from '../serving/served-call.js';
+import {UpstreamTracker} from '../upstream/upstream-tracker.js';
 import {CallFlow} from './call-flow.js';
 import {toEntryRequest} from './caller-requests.js';
 import {
-	AnnouncedState, NodeEffectType, type Announcement, type CallerRequest, type NodeEffect,
+	AnnouncedState, NodeEffectType, type Announcement, type CallerRequest, type NodeEffect, type Withdrawal,
 } from './effects.js';
 import {createLocator} from './locator.js';
 import {MembershipEffects} from './membership-effects.js';
@@ -90,6 +92,9 @@
 	readonly #membershipEffects: MembershipEffects;
 	readonly #policies = new Map<string, ServedPolicy>();
 	readonly #held: CallerRequest[] = [];
+	readonly #splits = new SplitChooser();
+	readonly #upstream = new UpstreamTracker();
+	#routes: RouteTable | undefined;
 	#isLeaving = false;
 	#announcedAt = -Infinity;
 	#announcedState: AnnouncedState | undefined;
@@ -156,6 +161,11 @@
 		return this.#isLeaving && this.openCalls === 0 && this.#guard.isIdle && this.#once.hasLeft;
 	}
 
+	/** Whether requests are found by host and path prefix, and not by the service that their path names. */
+	get isRouted(): boolean {
+		return this.#routes !== undefined;
+	}
+
 	/** Why the node does not serve callers; undefined when it does. */
 	get unreadyReason(): string | undefined {
 		return this.#adoption.current === undefined ? 'No manifest revision is in force yet' : undefined;
@@ -219,14 +229,14 @@
 		return this.#flow.fromServing(this.#flow.serving.upstreamFailed(callId, failure, now), now);
 	}
 
-	/** The upstream has announced itself, or withdrawn. */
-	announced(announcement: Announcement | undefined, now: number): NodeEffect[] {
-		if (announcement === undefined) {
-			this.#announcedState = undefined;
-			return this.#setState(UpstreamState.Draining, now);
+	/** The upstream has announced itself. Announcements that a later word has overtaken are passed over. */
+	announced(announcement: Announcement, now: number): NodeEffect[] {
+		const isNewIncarnation = this.#upstream.isNewIncarnation(announcement);
+		if (!this.#upstream.take(announcement)) {
+			return [this.#event({type: EventType.AnnouncementPassedOver, service: announcement.service, detail: `${announcement.instance ?? ''} ${announcement.sequence ?? ''} ${announcement.state}`})];
 		}
 
-		const isRestart = announcement.state === AnnouncedState.Ready && this.#announcedState !== AnnouncedState.Ready;
+		const isRestart = isNewIncarnation || (announcement.state === AnnouncedState.Ready && this.#announcedState !== AnnouncedState.Ready);
 		this.#announcedAt = now;
 		this.#announcedState = announcement.state;
 		this.#guard.limit.setSlots(announcement.slots);
@@ -238,7 +248,12 @@
 		const changed = this.#membership.updateOwn({service: announcement.service, slots: announcement.slots}, now);
 		this.#setOnceService();
 		const state = this.#isLeaving ? UpstreamState.Draining : announcedStates[announcement.state];
-		return [...this.#fromMembership(changed, now), ...this.#setState(state, now)];
+		return [{type: NodeEffectType.UpstreamAnnounced, announcement}, ...this.#fromMembership(changed, now), ...this.#setState(state, now)];
+	}
+
+	/** The upstream has withdrawn: it gets no new work any more. */
+	withdrawn(withdrawal: Withdrawal, now: number): NodeEffect[] {
+		return this.#upstream.withdraw(withdrawal) ? this.#silence(now) : [];
 	}
 
 	gossipArrived(message: GossipMessage, clock: HybridTime, now: number): NodeEffect[] {
@@ -333,6 +348,8 @@
 	#openCall(caller: CallerRequest, current: Revision, now: number): NodeEffect[] {
 		const result = toEntryRequest(caller, {
 			manifest: current.manifest,
+			routes: this.#routes,
+			splits: this.#splits,
 			enclosing: callId => this.#flow.serving.enclosing(callId),
 			newActionId: this.#definition.newActionId,
 			newKey: this.#definition.newKey,
@@ -408,6 +425,8 @@
 
 	#indexPolicies(revision: Revision): void {
 		this.#policies.clear();
+		this.#splits.reset();
+		this.#routes = revision.manifest.routes === undefined ? undefined : new RouteTable(revision.manifest.routes);
 		Object.entries(revision.manifest.services).map(([service, policy]) => policy.requests.map(request =>
 			this.#policies.set(`${service}/${request.kind}`, {request, answerBytesLimit: policy.answerBytesLimit})));
 	}
@@ -430,9 +449,14 @@
 		return this.#fromMembership(this.#membership.updateOwn({state}, now), now);
 	}
 
+	#silence(now: number): NodeEffect[] {
+		this.#announcedState = undefined;
+		return this.#setState(UpstreamState.Draining, now);
+	}
+
 	#advanceSlowly(now: number): NodeEffect[] {
 		const isSilent = this.#announcedState !== undefined && now - this.#announcedAt > announcementLifeMilliseconds;
-		const silenced = isSilent ? this.announced(undefined, now) : [];
+		const silenced = isSilent ? this.#silence(now) : [];
 		const membership = this.#fromMembership(this.#membership.advance(now), now);
 		const once = this.#flow.fromServing(this.#flow.serving.fromOnce(this.#once.advance(now), now), now);
 		const pulls = this.#directory.takePulls(now).flatMap(service => this.#pullRecord(service));
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -33,7 +33,8 @@
 	None = 'none',
 }
 
-export type Route
+/** Answer of the router. */
+export type RouteChoice
 	= | {readonly type: RouteType.Send; readonly candidate: Candidate}
 		| {readonly type: RouteType.Shed | RouteType.Exhausted | RouteType.None};
 
@@ -77,7 +78,7 @@
 		return chosen;
 	}
 
-	route(request: RoutingRequest, now: number): Route {
+	route(request: RoutingRequest, now: number): RouteChoice {
 		const all = this.#permitted(request);
 		if (all.length === 0) {
 			return {type: RouteType.None};
--- a/packages/core/src/serving/served-call.ts
+++ b/packages/core/src/serving/served-call.ts
@@ -13,6 +13,10 @@
 export enum UpstreamFailure {
 	/** No connection was made, so the upstream never got the call. */
 	NotConnected = 'not-connected',
+	/** The upstream said that it did not run the call. */
+	Refused = 'refused',
+	/** Another incarnation stands at the address, and did not run the call. */
+	OtherInstance = 'other-instance',
 	/** The connection broke, or the answer was not whole. */
 	Broken = 'broken',
 	/** The answer exceeded the limit of its service. */
@@ -50,7 +54,6 @@
 	readonly work: Work;
 	readonly arrivedAt: number;
 	readonly account: RetryAccount;
-	readonly answerBytesLimit: number;
 	isDispatched: boolean;
 	/** Why the guard wanted the dispatched call cancelled. */
 	cancelReason: ErrorKind | undefined;
--- a/packages/core/src/serving/serving.ts
+++ b/packages/core/src/serving/serving.ts
@@ -23,6 +23,15 @@
 const answeredMaximumEntries = 50_000;
 const shedStatuses: ReadonlySet<number> = new Set([429, 503]);
 
+type NotRunFailure = {readonly kind: ErrorKind; readonly detail: string; readonly end: DispatchEnd};
+
+/** Failures that prove that the upstream did not run the call. */
+const notRunFailures: Readonly<Partial<Record<UpstreamFailure, NotRunFailure>>> = {
+	[UpstreamFailure.NotConnected]: {kind: ErrorKind.UpstreamBroken, detail: 'No connection to the upstream', end: DispatchEnd.Broken},
+	[UpstreamFailure.Refused]: {kind: ErrorKind.Overloaded, detail: 'The upstream refused the call', end: DispatchEnd.Shed},
+	[UpstreamFailure.OtherInstance]: {kind: ErrorKind.NotServed, detail: 'Another incarnation stands at the address', end: DispatchEnd.Broken},
+};
+
 /** What serving knows of a request kind. */
 export type ServedPolicy = {
 	readonly request: RequestPolicy;
@@ -77,17 +86,16 @@
 			return [];
 		}
 
-		const policy = this.#definition.policyOf(frame.service, frame.kind);
-		const call = this.#createCall(frame, policy, now);
+		const call = this.#createCall(frame, now);
 		if (this.#answered.has(frame.callId)) {
 			return this.#answer(call, Outcome.Unknown, undefined, {kind: ErrorKind.Duplicate, detail: 'The call was received before'}, false, now);
 		}
 
-		if (policy === undefined || frame.service !== this.#definition.service()) {
-			return this.#refuse(call, {kind: ErrorKind.NoUpstream, detail: `This node serves no ${frame.service}/${frame.kind}`}, false, now);
+		if (frame.service !== this.#definition.service()) {
+			return this.#refuse(call, {kind: ErrorKind.NotServed, detail: `This node serves no ${frame.service}/${frame.kind}`}, false, now);
 		}
 
-		return policy.request.semantics === Semantics.AtMostOnce ? this.#receiveOnce(call, now) : this.#admit(call, now);
+		return frame.key === undefined ? this.#admit(call, now) : this.#receiveOnce(call, now);
 	}
 
 	/** Cancels a call wherever it is. */
@@ -123,7 +131,8 @@
 			return [];
 		}
 
-		return failure === UpstreamFailure.NotConnected ? this.#failNotConnected(call, now) : this.#failDispatched(call, failure, now);
+		const notRun = notRunFailures[failure];
+		return notRun === undefined ? this.#failDispatched(call, failure, now) : this.#failNotRun(call, notRun, now);
 	}
 
 	/** A call of the upstream on behalf of this one has begun: its time does not count against the upstream. */
@@ -157,16 +166,16 @@
 		return this.#fromGuard(this.#definition.guard.advance(now), now);
 	}
 
-	#createCall(frame: CallFrame, policy: ServedPolicy | undefined, now: number): ServedCall {
+	#createCall(frame: CallFrame, now: number): ServedCall {
 		const work: Work = {
 			callId: frame.callId,
 			kind: frame.kind,
 			importance: frame.importance,
 			priority: frame.priority,
-			idempotent: policy?.request.semantics === Semantics.Idempotent,
+			idempotent: frame.semantics === Semantics.Idempotent,
 			deadline: now + frame.timeLeftMilliseconds,
 			arrivedAt: now,
-			guaranteedShare: policy?.request.guaranteedShare ?? 0,
+			guaranteedShare: this.#definition.policyOf(frame.service, frame.kind)?.request.guaranteedShare ?? 0,
 			lastResort: frame.lastResort,
 		};
 		return {
@@ -174,7 +183,6 @@
 			work,
 			arrivedAt: now,
 			account: new RetryAccount(frame.retries),
-			answerBytesLimit: policy?.answerBytesLimit ?? 0,
 			isDispatched: false,
 			cancelReason: undefined,
 			nestedCount: 0,
@@ -285,10 +293,10 @@
 		return [...answered, ...this.#fromGuard(this.#definition.guard.finish(call.frame.callId, DispatchEnd.Broken, 0, now), now)];
 	}
 
-	#failNotConnected(call: ServedCall, now: number): ServingEffect[] {
-		const error = {kind: ErrorKind.UpstreamBroken, detail: `No connection to the upstream of ${call.frame.service}`};
+	#failNotRun(call: ServedCall, {kind, detail, end}: NotRunFailure, now: number): ServingEffect[] {
+		const error = {kind, detail: `${call.frame.service}: ${detail}`};
 		const onceCall = toOnceCall(call);
-		const freed = this.#definition.guard.finish(call.frame.callId, DispatchEnd.Broken, 0, now);
+		const freed = this.#definition.guard.finish(call.frame.callId, end, 0, now);
 		call.isDispatched = false;
 		const answered = onceCall === undefined
 			? this.#answer(call, Outcome.NotRun, undefined, error, false, now)
@@ -297,12 +305,12 @@
 	}
 
 	#failDispatched(call: ServedCall, failure: UpstreamFailure, now: number): ServingEffect[] {
-		const failures: Readonly<Record<Exclude<UpstreamFailure, UpstreamFailure.NotConnected>, {kind: ErrorKind; outcome: Outcome; end: DispatchEnd}>> = {
+		const failures: Readonly<Partial<Record<UpstreamFailure, {kind: ErrorKind; outcome: Outcome; end: DispatchEnd}>>> = {
 			[UpstreamFailure.Broken]: {kind: ErrorKind.UpstreamBroken, outcome: Outcome.Unknown, end: DispatchEnd.Broken},
 			[UpstreamFailure.TooLarge]: {kind: ErrorKind.AnswerTooLarge, outcome: Outcome.Ran, end: DispatchEnd.Answered},
 			[UpstreamFailure.Cancelled]: {kind: call.cancelReason ?? ErrorKind.Cancelled, outcome: Outcome.Unknown, end: DispatchEnd.Cancelled},
 		};
-		const {kind, outcome, end} = failures[failure as Exclude<UpstreamFailure, UpstreamFailure.NotConnected>];
+		const {kind, outcome, end} = failures[failure]!;
 		const finished = this.#finish(call, end, undefined, now);
 		const error = {kind, detail: `The upstream of ${call.frame.service} gave no whole answer`};
 		return [...this.#answer(call, outcome, undefined, error, false, now), ...finished];
--- a/packages/manifest/src/http-store.ts
+++ b/packages/manifest/src/http-store.ts
@@ -12,6 +12,7 @@
 const connections = 4;
 
 const entrySchema = valibot.object({version: valibot.number(), value: valibot.string()});
+const listSchema = valibot.object({entries: valibot.array(entrySchema)});
 const conflictSchema = valibot.object({current: valibot.optional(entrySchema)});
 const writtenSchema = valibot.object({version: valibot.number()});
 const leaseSchema = valibot.object({lease: valibot.string()});
@@ -61,6 +62,9 @@
 			const reply = await send('GET', `${keyPath(key)}?above=${aboveVersion}&waitMilliseconds=${waitMilliseconds}`, undefined, waitMilliseconds);
 			return reply.status === 204 ? undefined : read(reply, 200, entrySchema);
 		},
+		async list(prefix) {
+			return read(await send('GET', `/v1/keys?prefix=${encodeURIComponent(prefix)}`), 200, listSchema).entries;
+		},
 		async grantLease(timeToLiveMilliseconds) {
 			return read(await send('POST', '/v1/leases', {timeToLiveMilliseconds}), 200, leaseSchema).lease;
 		},
--- a/packages/manifest/src/store.ts
+++ b/packages/manifest/src/store.ts
@@ -30,6 +30,8 @@
 	readonly compareAndSwap: (key: string, expectedVersion: number, value: string, lease?: string) => Promise<SwapResult>;
 	/** Waits until the key has a version above the given one; undefined when the wait is over before that. */
 	readonly watch: (key: string, aboveVersion: number, waitMilliseconds: number) => Promise<StoreEntry | undefined>;
+	/** All entries whose keys begin with the prefix; they may be seconds old. */
+	readonly list: (prefix: string) => Promise<readonly StoreEntry[]>;
 	readonly grantLease: (timeToLiveMilliseconds: number) => Promise<string>;
 	/** False when the lease has lapsed. */
 	readonly renewLease: (lease: string) => Promise<boolean>;
--- a/packages/manifest/src/tests/manifest.test.ts
+++ b/packages/manifest/src/tests/manifest.test.ts
@@ -31,6 +31,7 @@
 			return fault === 'lose-confirmation' ? fail() : {type: SwapResultType.Written as const, version: expectedVersion + 1};
 		},
 		watch: async () => undefined,
+		list: async () => [],
 		grantLease: async () => 'lease',
 		renewLease: async () => true,
 		revokeLease: async () => undefined,
--- a/packages/node/src/announcements.ts
+++ b/packages/node/src/announcements.ts
@@ -11,11 +11,19 @@
 const maximumSlots = 100_000;
 const count = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(1), valibot.maxValue(maximumSlots));
 
-const announcementSchema = valibot.strictObject({
+const announcementSchema = valibot.object({
 	service: valibot.pipe(valibot.string(), valibot.regex(/^[a-z][a-z\d-]{0,62}$/u, 'Expected the name of a service')),
 	address: valibot.pipe(valibot.string(), valibot.regex(/^[^:\s]+:\d{1,5}$/u, 'Expected HOST:PORT')),
 	slots: count,
-	connections: count,
+	connections: valibot.optional(count),
+	/** Incarnation of the upstream. */
+	instance: valibot.optional(valibot.string()),
+	/** Milliseconds since the epoch at the incarnation's start. */
+	birth: valibot.optional(valibot.pipe(valibot.number(), valibot.integer())),
+	/** Grows with each announcement of the incarnation. */
+	sequence: valibot.optional(valibot.pipe(valibot.number(), valibot.integer())),
+	/** How much longer the upstream works slowly after its start. */
+	coldMilliseconds: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0))),
 	state: valibot.enum(AnnouncedState),
 	load: valibot.optional(valibot.strictObject({
 		inFlight: valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0)),
@@ -23,29 +31,22 @@
 	})),
 });
 
-/** An announcement with what only the connection to the upstream needs. */
-export type UpstreamAnnouncement = {
-	readonly announcement: Announcement;
-	/** HOST:PORT. */
-	readonly address: string;
-	readonly connections: number;
-};
-
 /**
  * Reads an announcement; throws `malformed` with the path of each mistake.
  *
  * @example
  * parseAnnouncement('{"service":"catalogue","address":"127.0.0.1:8001","slots":140,"connections":940,"state":"ready"}');
  */
-export function parseAnnouncement(text: string): UpstreamAnnouncement {
-	const result = valibot.safeParse(announcementSchema, parseJson(text));
+export function parseAnnouncement(text: string, instance?: string): Announcement {
+	const document = parseJson(text);
+	const result = valibot.safeParse(announcementSchema, instance === undefined ? document : {...document as object, instance});
 	if (!result.success) {
 		const mistakes = result.issues.map(issue => `${valibot.getDotPath(issue) ?? 'body'}: ${issue.message}`);
 		throw new LaburnumspoolError(ErrorKind.Malformed, mistakes.join('; '));
 	}
 
-	const {address, connections, load, ...announcement} = result.output;
-	return {address, connections, announcement: {...announcement, load}};
+	const {load, ...announcement} = result.output;
+	return {...announcement, load};
 }
 
 function parseJson(text: string): unknown {
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -9,20 +9,17 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	ErrorKind, isGone, LaburnumspoolError, NodeEffectType, type CallerAnswer, type CallerRequest,
+	ErrorKind, LaburnumspoolError, NodeEffectType, type CallerAnswer, type CallerLimits, type CallerRequest,
 } from '@laburnumspool/core';
-import {parseAnnouncement, type UpstreamAnnouncement} from './announcements.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
 	filterHeaders, HeaderName, readBody, sendClientError, sendProblem, toCallError,
 } from './http-messages.js';
 import type {PartLog} from './logs.js';
+import {isOwnPath, type OwnInterface} from './own-interface.js';
+import type {HeaderNames} from './settings.js';
 
-const ownPrefix = '/laburnumspool/';
 const maximumHeaderBytes = 16 * 1024;
-const maximumAnnouncementBytes = 16 * 1024;
-const loopbackAddresses: ReadonlySet<string> = new Set(['127.0.0.1', '::1', '::ffff:127.0.0.1']);
-const ownHeaders: ReadonlySet<string> = new Set([HeaderName.Timeout, HeaderName.TraceParent, HeaderName.TraceState, 'host']);
 const answerHeaders: ReadonlySet<string> = new Set([HeaderName.Outcome, HeaderName.Attempts]);
 
 export type CallersServerDefinition = {
@@ -31,8 +28,15 @@
 	readonly requestBytes: number;
 	readonly openRequests: number;
 	readonly slowSenderMilliseconds: number;
-	/** Takes what the upstream announced; undefined when it withdrew. */
-	readonly announced: (announcement: UpstreamAnnouncement | undefined) => void;
+	readonly headers: HeaderNames;
+	/** Host of the upstream that calls through this node. */
+	readonly upstreamHost: string | undefined;
+	/** Service beside the node. */
+	readonly service: string | undefined;
+	/** Told of each answer, and how long it took. */
+	readonly observeAnswer: (kind: string, milliseconds: number) => void;
+	/** Answers requests that are for the node itself. */
+	readonly own: OwnInterface;
 };
 
 /**
@@ -46,11 +50,15 @@
 	readonly #definition: CallersServerDefinition;
 	readonly #server: Server;
 	readonly #open = new Map<number, ServerResponse>();
+	readonly #dropped: ReadonlySet<string>;
+	#bodyBytes: number;
 	#lastEntryId = 0;
 	#isStopping = false;
 
 	constructor(definition: CallersServerDefinition) {
 		this.#definition = definition;
+		this.#bodyBytes = definition.requestBytes;
+		this.#dropped = droppedHeaders(definition.headers);
 		this.#server = createServer({
 			maxHeaderSize: maximumHeaderBytes,
 			headersTimeout: definition.slowSenderMilliseconds,
@@ -72,6 +80,12 @@
 		return this.#open.size;
 	}
 
+	/** Takes the bounds of a manifest; what it does not state stays as it is. */
+	setLimits({bodyBytes, idleMilliseconds}: CallerLimits): void {
+		this.#bodyBytes = bodyBytes ?? this.#bodyBytes;
+		this.#server.keepAliveTimeout = idleMilliseconds ?? this.#server.keepAliveTimeout;
+	}
+
 	async listen(port: number, host: string): Promise<void> {
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
@@ -79,6 +93,11 @@
 		});
 	}
 
+	/** Has callers go elsewhere: connections are closed after their next answer. */
+	closeAfterAnswers(): void {
+		this.#isStopping = true;
+	}
+
 	/** Takes no new connections; open requests are finished, and their connections closed after the answer. */
 	stopListening(): void {
 		this.#isStopping = true;
@@ -94,7 +113,7 @@
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		try {
 			const url = request.url ?? '/';
-			await (url.startsWith(ownPrefix) ? this.#handleOwn(request, response, url) : this.#handleCall(request, response, url));
+			await (isOwnPath(url) ? this.#definition.own.handle(request, response, url) : this.#handleCall(request, response, url));
 		} catch (error) {
 			response.once('finish', () => request.destroy());
 			sendProblem(response, toCallError(error));
@@ -108,8 +127,8 @@
 
 		this.#lastEntryId += 1;
 		const entryId = this.#lastEntryId;
-		const body = await readBody(request, this.#definition.requestBytes);
-		const callerRequest = toCallerRequest(entryId, request, url, body);
+		const body = await readBody(request, this.#bodyBytes);
+		const callerRequest = this.#toCallerRequest(entryId, request, url, body);
 		this.#open.set(entryId, response);
 		response.once('close', () => {
 			if (this.#open.delete(entryId)) {
@@ -138,112 +157,62 @@
 		}
 
 		const {status, headers, body} = answer.answer;
-		const kept = filterHeaders(headers, name => answerHeaders.has(name));
+		const kept = filterHeaders(headers, answerHeaders);
 		kept.push(HeaderName.Outcome, answer.outcome, HeaderName.Attempts, String(answer.attempts), 'content-length', String(body.length));
 		response.writeHead(status, kept);
 		response.end(body);
 	}
 
-	async #handleOwn(request: IncomingMessage, response: ServerResponse, url: string): Promise<void> {
-		const handlers: Readonly<Record<string, () => void | Promise<void>>> = {
-			'GET /laburnumspool/v1/health': () => {
-				this.#sendHealth(response);
-			},
-			'GET /laburnumspool/v1/members': () => {
-				this.#sendMembers(response);
-			},
-			'PUT /laburnumspool/v1/upstream': async () => this.#takeAnnouncement(request, response),
-			'DELETE /laburnumspool/v1/upstream': () => {
-				requireLoopback(request);
-				this.#definition.announced(undefined);
-				response.writeHead(204).end();
+	#toCallerRequest(entryId: number, request: IncomingMessage, url: string, body: Buffer): CallerRequest {
+		const {core, headers, service, upstreamHost} = this.#definition;
+		const method = request.method ?? 'GET';
+		const named = core.core.isRouted ? undefined : splitServicePath(url);
+		const key = single(request, HeaderName.Key);
+		const target = named?.target ?? url;
+		const passed = filterHeaders(request.rawHeaders, this.#dropped);
+		return {
+			entryId,
+			host: request.headers.host ?? '',
+			requestId: headers.requestId === undefined ? '' : single(request, headers.requestId) ?? '',
+			isFromUpstream: upstreamHost !== undefined && request.socket.remoteAddress === upstreamHost,
+			service: named?.service ?? '',
+			request: {
+				method,
+				target,
+				headers: headers.callerService === undefined || service === undefined ? passed : [...passed, headers.callerService, service],
+				body,
+				digest: key === undefined ? '' : createHash('sha256').update(`${method} ${target}\n`).update(body).digest('hex'),
 			},
+			key,
+			timeoutMilliseconds: parseTimeout(headers.timeLeft, single(request, headers.timeLeft)),
+			traceparent: single(request, HeaderName.TraceParent),
+			tracestate: single(request, HeaderName.TraceState),
 		};
-		const handler = handlers[`${request.method} ${url}`];
-		if (handler === undefined) {
-			throw new LaburnumspoolError(ErrorKind.UnknownRequestKind, `The node has no ${request.method} ${url}`);
-		}
-
-		await handler();
-	}
-
-	#sendHealth(response: ServerResponse): void {
-		const {core} = this.#definition.core;
-		const reason = this.#isStopping ? 'The node is stopping' : core.unreadyReason;
-		sendJson(response, reason === undefined ? 200 : 503, {
-			ready: reason === undefined, reason, revision: core.manifest?.number ?? 0, state: core.own.state,
-		});
-	}
-
-	#sendMembers(response: ServerResponse): void {
-		const members = this.#definition.core.core.members.filter(member => !isGone(member)).map(member => ({
-			name: member.name,
-			callers: `${member.host}:${member.callersPort}`,
-			control: `${member.host}:${member.controlPort}`,
-			service: member.service,
-			state: member.state,
-			region: member.location.region,
-			failureDomain: member.location.failureDomain,
-		}));
-		sendJson(response, 200, {members});
-	}
-
-	async #takeAnnouncement(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		requireLoopback(request);
-		const body = await readBody(request, maximumAnnouncementBytes);
-		this.#definition.announced(parseAnnouncement(body.toString('utf8')));
-		response.writeHead(204).end();
 	}
 }
 
-function sendJson(response: ServerResponse, status: number, body: unknown): void {
-	response.writeHead(status, {'content-type': 'application/json'});
-	response.end(JSON.stringify(body));
+/** Headers that the system sets itself, whatever was sent. */
+function droppedHeaders({timeLeft, expectedInstance, callerService}: HeaderNames): ReadonlySet<string> {
+	return new Set([timeLeft, HeaderName.TraceParent, HeaderName.TraceState, ...[expectedInstance, callerService].filter(name => name !== undefined)]);
 }
 
-function requireLoopback(request: IncomingMessage): void {
-	if (!loopbackAddresses.has(request.socket.remoteAddress ?? '')) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, 'Only the upstream on the same VM may announce itself');
-	}
-}
-
-function toCallerRequest(entryId: number, request: IncomingMessage, url: string, body: Buffer): CallerRequest {
+function splitServicePath(url: string): {service: string; target: string} | undefined {
 	const position = url.indexOf('/', 1);
-	if (!url.startsWith('/') || position === -1) {
-		throw new LaburnumspoolError(ErrorKind.UnknownService, 'Expected a path that begins with /SERVICE/');
-	}
-
-	const method = request.method ?? 'GET';
-	const target = url.slice(position);
-	return {
-		entryId,
-		service: url.slice(1, position),
-		request: {
-			method,
-			target,
-			headers: filterHeaders(request.rawHeaders, name => ownHeaders.has(name)),
-			body,
-			digest: createHash('sha256').update(`${method} ${target}\n`).update(body).digest('hex'),
-		},
-		key: single(request, HeaderName.Key),
-		timeoutMilliseconds: parseTimeout(single(request, HeaderName.Timeout)),
-		traceparent: single(request, HeaderName.TraceParent),
-		tracestate: single(request, HeaderName.TraceState),
-	};
+	return !url.startsWith('/') || position === -1 ? undefined : {service: url.slice(1, position), target: url.slice(position)};
 }
 
-function single(request: IncomingMessage, name: HeaderName): string | undefined {
+function single(request: IncomingMessage, name: string): string | undefined {
 	const value = request.headers[name];
 	return Array.isArray(value) ? value.join(',') : value;
 }
 
-function parseTimeout(text: string | undefined): number | undefined {
+function parseTimeout(name: string, text: string | undefined): number | undefined {
 	if (text === undefined) {
 		return undefined;
 	}
 
 	if (!/^\d{1,9}$/u.test(text)) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, `${HeaderName.Timeout}: expected a whole number of milliseconds`);
+		throw new LaburnumspoolError(ErrorKind.Malformed, `${name}: expected a whole number of milliseconds`);
 	}
 
 	return Number(text);
--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -3,20 +3,15 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
 import {promisify} from 'node:util';
-import {gunzipSync} from 'node:zlib';
 import {credentials, type Client} from '@grpc/grpc-js';
 import {
-	NodeEffectType, recordSchema, type Member, type NodeEffect, type VersionedRecord,
+	NodeEffectType, type Member, type NodeEffect,
 } from '@laburnumspool/core';
-import {toRevision} from '@laburnumspool/manifest';
-import {
-	ControlClient, fromWireMember, toWireMember, toWireOnceMessage, type wire,
-} from '@laburnumspool/protocol';
-import * as valibot from 'valibot';
+import {toWireOnceMessage} from '@laburnumspool/protocol';
+import {ControlClient, type wire} from '@laburnumspool/protocol/control';
 import {CoreMessageType, type CoreTask} from './core-task.js';
-import type {PartLog} from './logs.js';
+import {parseRecord} from './range-records.js';
 
 const answerMilliseconds = 1000;
 const idleMilliseconds = 60_000;
@@ -30,10 +25,7 @@
 /** What the task needs. */
 export type ControlClientDefinition = {
 	readonly core: CoreTask;
-	readonly log: PartLog;
 	readonly clock: () => number;
-	/** Reads the manifest from the store, when no peer has it. */
-	readonly readManifestFromStore: () => void;
 };
 
 /**
@@ -50,12 +42,6 @@
 	constructor(definition: ControlClientDefinition) {
 		this.#definition = definition;
 		definition.core.handle({
-			[NodeEffectType.ExchangeMembers]: ({to}) => {
-				void this.#exchange(`${to.host}:${to.port}`);
-			},
-			[NodeEffectType.PullManifest]: ({from}) => {
-				void this.#pullManifest(from);
-			},
 			[NodeEffectType.PullRecord]: ({service, from}) => {
 				void this.#pullRecord(service, from);
 			},
@@ -83,48 +69,6 @@
 		this.#channels.clear();
 	}
 
-	async #exchange(address: string): Promise<void> {
-		const {membership} = this.#definition.core.core;
-		const request: wire.IExchangeRequest = {buckets: membership.buckets(), sender: toWireMember(membership.own), rumors: membership.rumors};
-		const reply = await this.#call<wire.IExchangeReply>(address, 'exchangeMembers', request);
-		if (reply === undefined) {
-			return;
-		}
-
-		this.#definition.core.post({
-			type: CoreMessageType.ViewArrived,
-			members: (reply.members ?? []).map(member => fromWireMember(member)),
-			rumors: (reply.rumors ?? []).map(rumor => ({topic: rumor.topic ?? '', version: rumor.version ?? 0})),
-		});
-	}
-
-	async #pullManifest(from: readonly Member[]): Promise<void> {
-		const above = this.#definition.core.core.manifest?.number ?? 0;
-		const [first, ...others] = from;
-		if (first === undefined) {
-			this.#definition.readManifestFromStore();
-			return;
-		}
-
-		const reply = await this.#call<wire.IManifestReply>(addressOf(first), 'pullManifest', {above});
-		const {document} = reply ?? {};
-		if (reply === undefined || document === null || document === undefined || document.length === 0) {
-			await this.#pullManifest(others);
-			return;
-		}
-
-		this.#takeManifest(reply.number ?? 0, Buffer.from(document));
-	}
-
-	#takeManifest(number: number, document: Buffer): void {
-		try {
-			const revision = toRevision(number, gunzipSync(document).toString('utf8'));
-			this.#definition.core.post({type: CoreMessageType.ManifestArrived, revision});
-		} catch (error) {
-			this.#definition.log.error(`revision ${number} of the manifest cannot be read and is not adopted: ${error instanceof Error ? error.message : String(error)}`);
-		}
-	}
-
 	async #pullRecord(service: string, from: Member): Promise<void> {
 		const above = this.#definition.core.core.record(service)?.version ?? 0;
 		const reply = await this.#call<wire.IRecordReply>(addressOf(from), 'pullRecord', {service, above});
@@ -188,17 +132,3 @@
 		messages: effects.map(effect => toWireOnceMessage(effect.message)),
 	};
 }
-
-/** Reads a record; undefined when it is empty or not a record. */
-export function parseRecord(version: number, text: string): VersionedRecord | undefined {
-	if (text === '') {
-		return undefined;
-	}
-
-	try {
-		const result = valibot.safeParse(recordSchema, JSON.parse(text));
-		return result.success ? {version, record: result.output} : undefined;
-	} catch {
-		return undefined;
-	}
-}
--- a/packages/node/src/control-server.ts
+++ b/packages/node/src/control-server.ts
@@ -3,15 +3,12 @@
  *
  * @module
  */
-import {type Buffer} from 'node:buffer';
-import {gzipSync} from 'node:zlib';
 import {
 	Server, ServerCredentials, status, type sendUnaryData, type ServerUnaryCall,
 } from '@grpc/grpc-js';
 import {isGone, isSameHolder, LaburnumspoolError} from '@laburnumspool/core';
-import {
-	controlService, fromWireMember, fromWireOnceMessage, toWireMember, type wire,
-} from '@laburnumspool/protocol';
+import {fromWireOnceMessage} from '@laburnumspool/protocol';
+import {controlService, type wire} from '@laburnumspool/protocol/control';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 
 type Unary<Request, Reply> = (call: ServerUnaryCall<Request, Reply>, callback: sendUnaryData<Reply>) => void;
@@ -38,13 +35,10 @@
 export class ControlServer {
 	readonly #core: CoreTask;
 	readonly #server = new Server();
-	#compressed: {readonly number: number; readonly document: Buffer} | undefined;
 
 	constructor(core: CoreTask) {
 		this.#core = core;
 		this.#server.addService(controlService, {
-			exchangeMembers: answer((request: wire.IExchangeRequest) => this.#exchangeMembers(request)),
-			pullManifest: answer((request: wire.IManifestRequest) => this.#pullManifest(request)),
 			pullRecord: answer((request: wire.IRecordRequest) => this.#pullRecord(request)),
 			sendOnce: answer((request: wire.IOnceEnvelope) => this.#takeOnce(request)),
 			readEvents: answer((request: wire.IEventsRequest) => this.#readEvents(request)),
@@ -67,27 +61,6 @@
 		this.#server.forceShutdown();
 	}
 
-	#exchangeMembers(request: wire.IExchangeRequest): wire.IExchangeReply {
-		const {membership} = this.#core.core;
-		const missing = membership.differing(request.buckets ?? []);
-		const learned = request.sender === null || request.sender === undefined ? [] : [fromWireMember(request.sender)];
-		this.#core.post({type: CoreMessageType.ViewArrived, members: learned, rumors: toRumors(request.rumors)});
-		return {members: missing.map(member => toWireMember(member)), rumors: membership.rumors, buckets: membership.buckets()};
-	}
-
-	#pullManifest(request: wire.IManifestRequest): wire.IManifestReply {
-		const revision = this.#core.core.manifest;
-		if (revision === undefined || revision.number <= (request.above ?? 0)) {
-			return {number: revision?.number ?? 0, document: new Uint8Array()};
-		}
-
-		if (this.#compressed?.number !== revision.number) {
-			this.#compressed = {number: revision.number, document: gzipSync(revision.document)};
-		}
-
-		return {number: revision.number, document: this.#compressed.document};
-	}
-
 	#pullRecord(request: wire.IRecordRequest): wire.IRecordReply {
 		const record = this.#core.core.record(request.service ?? '');
 		return record === undefined || record.version <= (request.above ?? 0)
@@ -115,7 +88,3 @@
 		};
 	}
 }
-
-function toRumors(rumors: wire.IRumor[] | null | undefined): Array<{topic: string; version: number}> {
-	return (rumors ?? []).map(rumor => ({topic: rumor.topic ?? '', version: rumor.version ?? 0}));
-}
--- a/packages/node/src/core-task.ts
+++ b/packages/node/src/core-task.ts
@@ -6,7 +6,7 @@
 import {
 	EventRing, NodeCore, NodeEffectType, type AnswerFrame, type AnswerPayload, type Announcement, type CallerRequest, type CallFrame, type CancelResult,
 	type GossipMessage, type Holder, type HybridTime, type Member, type NodeDefinition, type NodeEffect, type OnceMessage, type Revision, type Rumor,
-	type SendFailure, type UpstreamFailure, type VersionedRecord, type WriteResult,
+	type SendFailure, type UpstreamFailure, type VersionedRecord, type Withdrawal, type WriteResult,
 } from '@laburnumspool/core';
 import type {PartLog} from './logs.js';
 import {Mailbox} from './mailbox.js';
@@ -25,6 +25,7 @@
 	UpstreamAnswered = 'upstream-answered',
 	UpstreamFailed = 'upstream-failed',
 	Announced = 'announced',
+	Withdrawn = 'withdrawn',
 	GossipArrived = 'gossip-arrived',
 	ViewArrived = 'view-arrived',
 	ManifestArrived = 'manifest-arrived',
@@ -50,7 +51,8 @@
 	[CoreMessageType.CancelReplied]: {readonly callId: string; readonly result: CancelResult};
 	[CoreMessageType.UpstreamAnswered]: {readonly callId: string; readonly answer: AnswerPayload};
 	[CoreMessageType.UpstreamFailed]: {readonly callId: string; readonly failure: UpstreamFailure};
-	[CoreMessageType.Announced]: {readonly announcement: Announcement | undefined};
+	[CoreMessageType.Announced]: {readonly announcement: Announcement};
+	[CoreMessageType.Withdrawn]: {readonly withdrawal: Withdrawal};
 	[CoreMessageType.GossipArrived]: {readonly message: GossipMessage; readonly clock: HybridTime};
 	[CoreMessageType.ViewArrived]: {readonly members: readonly Member[]; readonly rumors: readonly Rumor[]};
 	[CoreMessageType.ManifestArrived]: {readonly revision: Revision};
@@ -86,6 +88,7 @@
 	[CoreMessageType.UpstreamAnswered]: (core, {callId, answer}, now) => core.upstreamAnswered(callId, answer, now),
 	[CoreMessageType.UpstreamFailed]: (core, {callId, failure}, now) => core.upstreamFailed(callId, failure, now),
 	[CoreMessageType.Announced]: (core, {announcement}, now) => core.announced(announcement, now),
+	[CoreMessageType.Withdrawn]: (core, {withdrawal}, now) => core.withdrawn(withdrawal, now),
 	[CoreMessageType.GossipArrived]: (core, {message, clock}, now) => core.gossipArrived(message, clock, now),
 	[CoreMessageType.ViewArrived]: (core, {members, rumors}, now) => core.viewArrived(members, rumors, now),
 	[CoreMessageType.ManifestArrived]: (core, {revision}, now) => core.manifestArrived(revision, now),
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -4,20 +4,24 @@
  * @module
  */
 import {randomBytes} from 'node:crypto';
+import {once} from 'node:events';
+import type {Server} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	Liveness, NodeEffectType, UpstreamState, type Member, type NodeDefinition,
+	EventType, Liveness, NodeEffectType, UpstreamState, type Member, type NodeDefinition, type Revision,
 } from '@laburnumspool/core';
-import {openHttpStore} from '@laburnumspool/manifest';
+import {
+	openHttpStore, parseShipped, toRevision, type Store, type StoreEntry,
+} from '@laburnumspool/manifest';
 import {v7 as newTimedKey} from 'uuid';
 import {CallersServer} from './callers-server.js';
-import {ControlTask} from './control-client.js';
-import {ControlServer} from './control-server.js';
 import {CoreMessageType, CoreTask} from './core-task.js';
+import {logEvent} from './event-log.js';
 import {GossipSocket} from './gossip-socket.js';
-import {LogPart, type LogMaker} from './logs.js';
+import {LogPart, type LogMaker, type PartLog} from './logs.js';
 import {openMetrics} from './metrics.js';
+import {OwnInterface} from './own-interface.js';
 import {PeersClient} from './peers-client.js';
 import {PeersServer} from './peers-server.js';
 import type {Settings} from './settings.js';
@@ -31,6 +35,22 @@
 const startPollMilliseconds = 20;
 const progressMilliseconds = 2000;
 
+/** What a deployment brings of its own: its store, and how manifests lie in it. */
+export type Deployment = {
+	readonly openStore: (url: string) => Store;
+	/** Reads a manifest as the store holds it; throws `invalid-manifest`. */
+	readonly readManifest: (entry: StoreEntry) => Revision;
+	/** Reads a manifest that a peer hands over; throws `invalid-manifest`. */
+	readonly toRevision: (number: number, document: string) => Revision;
+};
+
+/** The project's own store. */
+export const ownDeployment: Deployment = {
+	openStore: openHttpStore,
+	readManifest: entry => toRevision(entry.version, parseShipped(entry).document),
+	toRevision,
+};
+
 /** A running node. */
 export type Daemon = {
 	readonly core: CoreTask;
@@ -50,47 +70,49 @@
  * const daemon = await startDaemon(readSettings('node.yaml'), openLog('info'));
  * await daemon.whenReady();
  */
-export async function startDaemon(settings: Settings, openPartLog: LogMaker): Promise<Daemon> {
+export async function startDaemon(settings: Settings, openPartLog: LogMaker, deployment = ownDeployment): Promise<Daemon> {
 	const clock = (): number => performance.now();
 	const core = new CoreTask(toDefinition(settings), clock, settings.limits.events, openPartLog(LogPart.Node));
-	const upstream = new UpstreamClient(core, openPartLog(LogPart.Upstream));
+	const upstream = new UpstreamClient(core, settings.headers, openPartLog(LogPart.Upstream));
 	const peersClient = new PeersClient(core, openPartLog(LogPart.Peers));
 	const gossip = new GossipSocket(core, openPartLog(LogPart.Control));
 	const store = new StoreTask({
 		core,
-		store: openHttpStore(settings.store.url),
+		store: deployment.openStore(settings.store.url),
 		log: openPartLog(LogPart.Store),
 		clock,
 		random: Math.random,
 		leaseMilliseconds: settings.store.leaseSeconds * 1000,
-		seeds: settings.seeds.map(seed => parseAddress(seed)),
-	});
-	const control = new ControlTask({
-		core, log: openPartLog(LogPart.Control), clock, readManifestFromStore() {
-			store.readManifest();
-		},
+		manifestKey: settings.store.manifestKey,
+		readManifest: deployment.readManifest,
+		pullManifest: async from => pullManifest(from, core, peersClient, deployment, openPartLog(LogPart.Peers)),
 	});
-	const controlServer = new ControlServer(core);
 	const bounds = {requestBytes: settings.limits.requestBytes, slowSenderMilliseconds: settings.limits.slowSenderSeconds * 1000};
+	const metrics = await openMetrics(settings.statsd, settings.name);
+	const own = new OwnInterface({
+		core, host: settings.host, upstream: settings.upstream, metrics: metrics.text,
+	});
 	const peersServer = new PeersServer({core, ...bounds});
 	const callersServer = new CallersServer({
 		core,
 		log: openPartLog(LogPart.Callers),
 		openRequests: settings.limits.openRequests,
+		headers: settings.headers,
+		upstreamHost: hostOf(settings.upstream?.address),
+		service: settings.upstream?.service,
+		own,
+		observeAnswer: metrics.observeAnswer,
 		...bounds,
-		announced(announced) {
-			if (announced !== undefined) {
-				upstream.setUpstream(announced);
-			}
-
-			core.post({type: CoreMessageType.Announced, announcement: announced?.announcement});
-		},
 	});
-	const metrics = openMetrics(settings.statsd, settings.name);
+	const callLog = openPartLog(LogPart.Calls);
 	const mustStop = new Promise<string>(resolve => {
 		core.handle({
 			[NodeEffectType.Event]({event}) {
 				metrics.count(event);
+				logEvent(callLog, event);
+				if (event.type === EventType.ManifestAdopted) {
+					callersServer.setLimits(core.core.manifest?.manifest.limits ?? {});
+				}
 			},
 			[NodeEffectType.Stop]({reason}) {
 				resolve(reason);
@@ -99,10 +121,14 @@
 	});
 
 	core.post({type: CoreMessageType.SeedsRead, seeds: settings.seeds.map(seed => parseAddress(seed))});
-	await gossip.listen(settings.ports.control, settings.host);
-	await controlServer.listen(settings.ports.control, settings.host);
-	await peersServer.listen(settings.ports.peers, settings.host);
-	await callersServer.listen(settings.ports.callers, settings.host);
+	const ownServers = [settings.ports.health, settings.ports.announcements, settings.ports.metrics].flatMap(port => port === undefined ? [] : [{port, server: own.createServer()}]);
+	await Promise.all([
+		gossip.listen(settings.ports.control, settings.host),
+		peersServer.listen(settings.ports.peers, settings.host),
+		callersServer.listen(settings.ports.callers, settings.host),
+		...ownServers.map(async ({port, server}) => listen(server, port, settings.host)),
+	]);
+	const controlCalls = settings.controlCalls ? await startControlCalls(settings, core, clock) : undefined;
 	store.start();
 	const ticks = setInterval(() => {
 		core.post({type: CoreMessageType.Tick});
@@ -110,7 +136,7 @@
 	const gauges = setInterval(() => {
 		metrics.gauge(core.core);
 		peersClient.keepOnly(core.core.members);
-		control.closeIdle();
+		controlCalls?.closeIdle();
 	}, gaugeMilliseconds);
 
 	const close = async (): Promise<void> => {
@@ -118,8 +144,8 @@
 		clearInterval(gauges);
 		callersServer.close();
 		peersServer.close();
-		controlServer.close();
-		control.close();
+		ownServers.map(({server}) => server.close());
+		controlCalls?.close();
 		gossip.close();
 		metrics.close();
 		await Promise.all([upstream.close(), peersClient.close(), store.stop()]);
@@ -132,6 +158,9 @@
 			openPartLog(LogPart.Node).info(`still has ${openCalls} calls, ${callersServer.openCount} requests, ${guard.inFlight} in the upstream; key ranges ${once.hasLeft ? 'are handed over' : 'are being handed over'}`);
 		}, progressMilliseconds);
 		core.post({type: CoreMessageType.Leave});
+		own.stopping();
+		callersServer.closeAfterAnswers();
+		await delay(settings.lingerMilliseconds);
 		callersServer.stopListening();
 		while (!(core.core.mayStop && callersServer.openCount === 0) && clock() < until) {
 			await delay(stopPollMilliseconds); // eslint-disable-line no-await-in-loop
@@ -154,6 +183,52 @@
 	};
 }
 
+function hostOf(address: string | undefined): string | undefined {
+	return address === undefined ? undefined : parseAddress(address).host;
+}
+
+async function listen(server: Server, port: number, host: string): Promise<void> {
+	server.listen(port, host);
+	await once(server, 'listening');
+}
+
+/** Calls that few deployments need are loaded only where they are wanted. */
+async function startControlCalls(settings: Settings, core: CoreTask, clock: () => number): Promise<{closeIdle: () => void; close: () => void}> {
+	const [{ControlTask}, {ControlServer}] = await Promise.all([import('./control-client.js'), import('./control-server.js')]);
+	const task = new ControlTask({core, clock});
+	const server = new ControlServer(core);
+	await server.listen(settings.ports.control, settings.host);
+	return {
+		closeIdle() {
+			task.closeIdle();
+		},
+		close() {
+			server.close();
+			task.close();
+		},
+	};
+}
+
+async function pullManifest(from: readonly Member[], core: CoreTask, peers: PeersClient, deployment: Deployment, log: PartLog): Promise<boolean> {
+	const [first, ...others] = from;
+	if (first === undefined) {
+		return false;
+	}
+
+	const pulled = await peers.readManifest(first);
+	if (pulled === undefined || pulled.number <= (core.core.manifest?.number ?? 0)) {
+		return pullManifest(others, core, peers, deployment, log);
+	}
+
+	try {
+		core.post({type: CoreMessageType.ManifestArrived, revision: deployment.toRevision(pulled.number, pulled.document)});
+		return true;
+	} catch (error) {
+		log.error(`revision ${pulled.number} of ${first.name} cannot be read and is not adopted: ${error instanceof Error ? error.message : String(error)}`);
+		return pullManifest(others, core, peers, deployment, log);
+	}
+}
+
 function toDefinition(settings: Settings): NodeDefinition {
 	return {
 		own: toMember(settings),
--- a/packages/node/src/http-messages.ts
+++ b/packages/node/src/http-messages.ts
@@ -7,7 +7,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	answers, ErrorKind, LaburnumspoolError, Outcome, type CallError, type RawHeaders,
+	answers, ErrorKind, LaburnumspoolError, Outcome, statusOf, type CallError, type RawHeaders,
 } from '@laburnumspool/core';
 
 const retryAfterSeconds = 1;
@@ -27,12 +27,13 @@
 	TraceState = 'tracestate',
 }
 
-/** Pairs of name and value of raw headers, with lower-case names, without those that the test drops. */
-export function filterHeaders(headers: RawHeaders, isDropped: (name: string) => boolean): string[] {
+/** Pairs of name and value of raw headers, with lower-case names, without those of one connection and those to drop. */
+export function filterHeaders(headers: RawHeaders, dropped: ReadonlySet<string>): string[] {
 	const kept: string[] = [];
+	const named = namedByConnection(headers);
 	for (let position = 0; position + 1 < headers.length; position += 2) {
 		const name = headers[position]!.toLowerCase();
-		if (!hopHeaders.has(name) && !isDropped(name)) {
+		if (!hopHeaders.has(name) && !dropped.has(name) && !named.includes(name)) {
 			kept.push(name, headers[position + 1]!);
 		}
 	}
@@ -40,6 +41,19 @@
 	return kept;
 }
 
+/** Value of a header among raw pairs with lower-case names. */
+export function findHeader(headers: RawHeaders, name: string | undefined): string | undefined {
+	const position = name === undefined ? -1 : headers.findIndex((header, index) => index % 2 === 0 && header === name);
+	return position === -1 ? undefined : headers[position + 1];
+}
+
+/** Headers that the sender declares as those of the connection. */
+function namedByConnection(headers: RawHeaders): string[] {
+	return headers.flatMap((header, index) => index % 2 === 0 && header.toLowerCase() === 'connection'
+		? headers[index + 1]!.split(',').map(name => name.trim().toLowerCase())
+		: []);
+}
+
 /** Reads a body; rejects with `payload-too-large`, or with `malformed` when the sender stops before its end. */
 export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Buffer> {
 	const declared = Number(request.headers['content-length'] ?? 0);
@@ -72,10 +86,10 @@
 }
 
 /** The body of an error answer. */
-export function problemOf(error: CallError): string {
-	const {status, title} = answers[error.kind];
+export function problemOf(error: CallError, outcome: Outcome): string {
+	const {title} = answers[error.kind];
 	return JSON.stringify({
-		type: 'about:blank', title, status, kind: error.kind, detail: error.detail,
+		type: 'about:blank', title, status: statusOf(error.kind, outcome), kind: error.kind, detail: error.detail,
 	});
 }
 
@@ -85,8 +99,8 @@
 		return;
 	}
 
-	const {status} = answers[error.kind];
-	const body = problemOf(error);
+	const status = statusOf(error.kind, outcome);
+	const body = problemOf(error, outcome);
 	response.writeHead(status, {
 		'content-type': 'application/problem+json',
 		'content-length': Buffer.byteLength(body),
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -8,4 +8,5 @@
 export * from './daemon.js';
 export * from './logs.js';
 export * from './mailbox.js';
+export * from './run.js';
 export * from './settings.js';
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -1,57 +1,92 @@
 /**
- * Metrics by StatsD.
+ * Metrics: counters, gauges and latency histograms as text for a scraper, and by StatsD where a server is set.
  *
  * @module
  */
 import {EventType, type NodeCore, type NodeEvent} from '@laburnumspool/core';
-import {StatsD} from 'hot-shots';
+import type {StatsD} from 'hot-shots';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 
-const prefix = 'laburnumspool.';
+const prefix = 'laburnumspool_';
+const statsdPrefix = 'laburnumspool.';
 
-/** Where metrics go; without a server they go nowhere. */
+/** Upper bounds of the latency buckets, in milliseconds. */
+const latencyBuckets = [5, 10, 25, 50, 100, 200, 300, 500, 800, 1200, 2000, 5000];
+
+const eventsWithReason: ReadonlySet<EventType> = new Set([EventType.Refused, EventType.Answered]);
+
+/** Where metrics are kept. */
 export type Metrics = {
 	readonly count: (event: NodeEvent) => void;
 	readonly gauge: (core: NodeCore) => void;
+	readonly observeAnswer: (kind: string, milliseconds: number) => void;
+	/** All metrics as text, and their content type. */
+	readonly text: () => Promise<{readonly type: string; readonly text: string}>;
 	readonly close: () => void;
 };
 
-const silentMetrics: Metrics = {
-	count: () => undefined,
-	gauge: () => undefined,
-	close: () => undefined,
-};
-
 /**
  * Opens the metrics.
  *
  * @example
- * const metrics = openMetrics({host: '10.0.0.9', port: 8125}, 'node-1');
+ * const metrics = await openMetrics({host: '10.0.0.9', port: 8125}, 'node-1');
  */
-export function openMetrics(server: {readonly host: string; readonly port: number} | undefined, node: string): Metrics {
-	if (server === undefined) {
-		return silentMetrics;
-	}
-
-	const client = new StatsD({
-		...server, prefix, globalTags: {node}, maxBufferSize: 1200, errorHandler: () => undefined,
+export async function openMetrics(server: {readonly host: string; readonly port: number} | undefined, node: string): Promise<Metrics> {
+	const registry = new Registry();
+	const registers = [registry];
+	registry.setDefaultLabels({node});
+	const events = new Counter({
+		name: `${prefix}events_total`, help: 'Events of the node by type, service, kind and reason', labelNames: ['type', 'service', 'kind', 'reason'], registers,
+	});
+	const gauges = new Gauge({
+		name: `${prefix}state`, help: 'State of the node by name', labelNames: ['name'], registers,
 	});
+	const latencies = new Histogram({
+		name: `${prefix}answer_milliseconds`, help: 'Time from a caller\'s whole request to its answer', labelNames: ['kind'], buckets: latencyBuckets, registers,
+	});
+	const client = server === undefined ? undefined : await openStatsd(server, node);
 	return {
 		count(event) {
-			const tags = {...(event.service === undefined ? {} : {service: event.service}), ...(event.kind === undefined ? {} : {kind: event.kind})};
-			const reason = event.type === EventType.Refused || event.type === EventType.Answered ? {reason: event.detail ?? ''} : {};
-			client.increment(`events.${event.type}`, 1, {...tags, ...reason});
+			const reason = eventsWithReason.has(event.type) ? event.detail ?? '' : '';
+			events.inc({
+				type: event.type, service: event.service ?? '', kind: event.kind ?? '', reason,
+			});
+			client?.increment(`events.${event.type}`, 1, {service: event.service ?? '', kind: event.kind ?? '', reason});
 		},
 		gauge(core) {
-			client.gauge('limit', core.guard.limit.value);
-			client.gauge('in_flight', core.guard.inFlight);
-			client.gauge('waiting', core.guard.waiting);
-			client.gauge('level', core.guard.load.level);
-			client.gauge('members', core.membership.others.length + 1);
-			client.gauge('revision', core.manifest?.number ?? 0);
-			client.gauge('claims', core.once.memory.claims);
+			Object.entries(gaugesOf(core)).map(([name, value]) => {
+				gauges.set({name}, value);
+				client?.gauge(name, value);
+				return name;
+			});
+		},
+		observeAnswer(kind, milliseconds) {
+			latencies.observe({kind}, milliseconds);
 		},
+		text: async () => ({type: registry.contentType, text: await registry.metrics()}),
 		close() {
-			client.close(() => undefined);
+			client?.close(() => undefined);
 		},
 	};
 }
+
+function gaugesOf(core: NodeCore): Readonly<Record<string, number>> {
+	return {
+		limit: core.guard.limit.value,
+		in_flight: core.guard.inFlight,
+		waiting: core.guard.waiting,
+		level: core.guard.load.level,
+		members: core.membership.others.length + 1,
+		revision: core.manifest?.number ?? 0,
+		claims: core.once.memory.claims,
+	};
+}
+
+async function openStatsd(server: {readonly host: string; readonly port: number}, node: string): Promise<StatsD> {
+	const {StatsD: Client} = await import('hot-shots');
+	return new Client({
+		...server, prefix: statsdPrefix, globalTags: {node}, maxBufferSize: 1200, errorHandler: () => undefined,
+	});
+}
--- /dev/null
+++ b/packages/node/src/own-interface.ts
@@ -0,0 +1,161 @@
+/**
+ * What a node answers for itself over HTTP: health, members, and the announcements of its upstream.
+ *
+ * @module
+ */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {ErrorKind, isGone, LaburnumspoolError} from '@laburnumspool/core';
+import {parseAnnouncement} from './announcements.js';
+import {CoreMessageType, type CoreTask} from './core-task.js';
+import {
+	readBody, sendClientError, sendProblem, toCallError,
+} from './http-messages.js';
+
+const ownPrefix = '/laburnumspool/';
+const maximumAnnouncementBytes = 16 * 1024;
+const loopbackAddresses: ReadonlySet<string> = new Set(['127.0.0.1', '::1', '::ffff:127.0.0.1']);
+
+export type OwnInterfaceDefinition = {
+	readonly core: CoreTask;
+	/** Host of the node, from which its upstream may announce itself as well as from loopback. */
+	readonly host: string;
+	/** The upstream that stands beside the node, if the settings name it. */
+	readonly upstream: {readonly service: string; readonly address: string} | undefined;
+	/** Metrics as text, and their content type. */
+	readonly metrics: () => Promise<{readonly type: string; readonly text: string}>;
+};
+
+/** Whether a path is the node's own, and never routed. */
+export function isOwnPath(url: string): boolean {
+	return url.startsWith(ownPrefix);
+}
+
+/**
+ * Answers requests that are for the node itself.
+ *
+ * @example
+ * const own = new OwnInterface(definition);
+ * const server = own.createServer();
+ */
+export class OwnInterface {
+	readonly #definition: OwnInterfaceDefinition;
+	#isStopping = false;
+
+	constructor(definition: OwnInterfaceDefinition) {
+		this.#definition = definition;
+	}
+
+	/** Health is bad from now on. */
+	stopping(): void {
+		this.#isStopping = true;
+	}
+
+	/** A server of the interface alone. */
+	createServer(): Server {
+		const server = createServer(async (request, response) => {
+			try {
+				await this.handle(request, response, request.url ?? '/');
+			} catch (error) {
+				sendProblem(response, toCallError(error));
+			}
+		});
+		server.on('clientError', sendClientError);
+		return server;
+	}
+
+	/** Answers one request; throws `unknown-request-kind`, or `malformed`. */
+	async handle(request: IncomingMessage, response: ServerResponse, url: string): Promise<void> {
+		const {pathname, searchParams} = new URL(url, 'http://node');
+		const instance = searchParams.get('instance') ?? undefined;
+		const handlers: Readonly<Record<string, () => void | Promise<void>>> = {
+			'GET /laburnumspool/v1/health': () => {
+				this.#sendHealth(response);
+			},
+			'GET /laburnumspool/v1/members': () => {
+				this.#sendMembers(response);
+			},
+			'GET /metrics': async () => this.#sendMetrics(response),
+			'PUT /laburnumspool/v1/upstream': async () => this.#takeAnnouncement(request, response, instance),
+			'DELETE /laburnumspool/v1/upstream': async () => this.#takeWithdrawal(request, response, instance),
+		};
+		const handler = handlers[`${request.method} ${pathname}`];
+		if (handler === undefined) {
+			throw new LaburnumspoolError(ErrorKind.UnknownRequestKind, `The node has no ${request.method} ${pathname}`);
+		}
+
+		await handler();
+	}
+
+	#sendHealth(response: ServerResponse): void {
+		const {core} = this.#definition.core;
+		const reason = this.#isStopping ? 'The node is stopping' : core.unreadyReason;
+		sendJson(response, reason === undefined ? 200 : 503, {
+			ready: reason === undefined, reason, revision: core.manifest?.number ?? 0, state: core.own.state,
+		});
+	}
+
+	#sendMembers(response: ServerResponse): void {
+		const members = this.#definition.core.core.members.filter(member => !isGone(member)).map(member => ({
+			name: member.name,
+			callers: `${member.host}:${member.callersPort}`,
+			control: `${member.host}:${member.controlPort}`,
+			service: member.service,
+			state: member.state,
+			region: member.location.region,
+			failureDomain: member.location.failureDomain,
+		}));
+		sendJson(response, 200, {members});
+	}
+
+	async #sendMetrics(response: ServerResponse): Promise<void> {
+		const {type, text} = await this.#definition.metrics();
+		response.writeHead(200, {'content-type': type});
+		response.end(text);
+	}
+
+	/** What names another upstream than that of the settings comes from another writer, and is passed over. */
+	async #takeAnnouncement(request: IncomingMessage, response: ServerResponse, instance: string | undefined): Promise<void> {
+		this.#requireOwnVm(request);
+		const {upstream, core} = this.#definition;
+		const body = await readBody(request, maximumAnnouncementBytes);
+		const announcement = parseAnnouncement(body.toString('utf8'), instance);
+		const isOther = upstream !== undefined && (announcement.address !== upstream.address || announcement.service !== upstream.service);
+		if (isOther) {
+			throw new LaburnumspoolError(ErrorKind.Malformed, `The upstream beside this node is ${upstream.service} at ${upstream.address}`);
+		}
+
+		core.post({type: CoreMessageType.Announced, announcement});
+		response.writeHead(204).end();
+	}
+
+	async #takeWithdrawal(request: IncomingMessage, response: ServerResponse, instance: string | undefined): Promise<void> {
+		this.#requireOwnVm(request);
+		const body = await readBody(request, maximumAnnouncementBytes);
+		this.#definition.core.post({type: CoreMessageType.Withdrawn, withdrawal: {instance, birth: parseBirth(body.toString('utf8'))}});
+		response.writeHead(204).end();
+	}
+
+	#requireOwnVm(request: IncomingMessage): void {
+		const {remoteAddress = ''} = request.socket;
+		if (!loopbackAddresses.has(remoteAddress) && remoteAddress !== this.#definition.host) {
+			throw new LaburnumspoolError(ErrorKind.Malformed, 'Only the upstream on the same VM may announce itself');
+		}
+	}
+}
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+	response.writeHead(status, {'content-type': 'application/json'});
+	response.end(JSON.stringify(body));
+}
+
+/** A withdrawal may carry the start of its incarnation; without a body it is the present one's. */
+function parseBirth(text: string): number | undefined {
+	try {
+		const {birth} = JSON.parse(text) as {birth?: unknown};
+		return typeof birth === 'number' ? birth : undefined;
+	} catch {
+		return undefined;
+	}
+}
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -7,8 +7,11 @@
 import {
 	CancelResult, NodeEffectType, SendFailure, type Member, type NodeEffect,
 } from '@laburnumspool/core';
-import {decodeAnswer, encodeCall} from '@laburnumspool/protocol';
+import {
+	decodeAnswer, encodeCall, parseViewReply, type ViewRequest,
+} from '@laburnumspool/protocol';
 import {Pool} from 'undici';
+import * as valibot from 'valibot';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {ExchangeFailure, startExchange, type ExchangeResult} from './http-client.js';
 import type {PartLog} from './logs.js';
@@ -17,9 +20,16 @@
 const connectMilliseconds = 500;
 const extraMilliseconds = 1000;
 const cancelMilliseconds = 500;
+const controlMilliseconds = 1000;
 const maximumAnswerBytes = 80 * 1024 * 1024;
 const idleMilliseconds = 60_000;
 
+const pulledSchema = valibot.object({number: valibot.number(), document: valibot.string()});
+
+/** A manifest that a peer has in force. */
+export type PulledManifest = valibot.InferOutput<typeof pulledSchema>;
+
+type PeerAddress = Pick<Member, 'host' | 'peersPort'>;
 type SendEffect = Extract<NodeEffect, {type: NodeEffectType.SendCall}>;
 
 /**
@@ -40,6 +50,9 @@
 			[NodeEffectType.SendCall]: effect => {
 				this.#send(effect);
 			},
+			[NodeEffectType.ExchangeMembers]: ({to}) => {
+				this.#exchangeMembers(to);
+			},
 			[NodeEffectType.SendCancel]: ({to, callId}) => {
 				this.#cancel(to, callId);
 			},
@@ -54,6 +67,25 @@
 		void Promise.all(gone.map(async ([, pool]) => pool.close()));
 	}
 
+	/** Asks a node for its manifest; undefined when it has none, or does not answer. */
+	async readManifest(from: Member): Promise<PulledManifest | undefined> {
+		const result = await new Promise<ExchangeResult>(resolve => {
+			startExchange(this.#pool(from), {
+				method: 'GET', path: '/manifest', headers: [], body: undefined, maximumBytes: maximumAnswerBytes, timeoutMilliseconds: cancelMilliseconds,
+			}, resolve);
+		});
+		if (!result.success || result.status !== 200) {
+			return undefined;
+		}
+
+		try {
+			return valibot.parse(pulledSchema, JSON.parse(result.body.toString('utf8')));
+		} catch {
+			this.#log.warn(`${from.name} has no manifest, or one that cannot be read`);
+			return undefined;
+		}
+	}
+
 	async close(): Promise<void> {
 		await Promise.all([...this.#pools.values()].map(async pool => pool.destroy()));
 	}
@@ -108,8 +140,33 @@
 		});
 	}
 
-	#pool(member: Member): Pool {
-		const address = addressOf(member);
+	#exchangeMembers(to: PeerAddress): void {
+		const {membership} = this.#core.core;
+		const view: ViewRequest = {sender: membership.own, buckets: membership.buckets(), rumors: membership.rumors};
+		startExchange(this.#pool(to), {
+			method: 'POST',
+			path: '/members',
+			headers: ['content-type', 'application/json'],
+			body: Buffer.from(JSON.stringify(view)),
+			maximumBytes: maximumAnswerBytes,
+			timeoutMilliseconds: controlMilliseconds,
+		}, result => {
+			if (result.success && result.status === 200) {
+				this.#takeView(result.body.toString('utf8'));
+			}
+		});
+	}
+
+	#takeView(text: string): void {
+		try {
+			this.#core.post({type: CoreMessageType.ViewArrived, ...parseViewReply(text)});
+		} catch (error) {
+			this.#log.warn(`the view of a peer cannot be read: ${error instanceof Error ? error.message : String(error)}`);
+		}
+	}
+
+	#pool(peer: PeerAddress): Pool {
+		const address = addressOf(peer);
 		const known = this.#pools.get(address);
 		if (known !== undefined) {
 			return known;
@@ -123,6 +180,6 @@
 	}
 }
 
-function addressOf(member: Member): string {
-	return `${member.host}:${member.peersPort}`;
+function addressOf({host, peersPort}: PeerAddress): string {
+	return `${host}:${peersPort}`;
 }
--- a/packages/node/src/peers-server.ts
+++ b/packages/node/src/peers-server.ts
@@ -9,7 +9,9 @@
 import {
 	ErrorKind, LaburnumspoolError, NodeEffectType, type NodeEffect,
 } from '@laburnumspool/core';
-import {decodeCall, encodeAnswer} from '@laburnumspool/protocol';
+import {
+	decodeCall, encodeAnswer, parseViewRequest, type ViewReply,
+} from '@laburnumspool/protocol';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
 	readBody, sendClientError, sendProblem, toCallError,
@@ -18,6 +20,7 @@
 const keepAliveMilliseconds = 600_000;
 const headRoomBytes = 256 * 1024;
 const maximumCancellationBytes = 4096;
+const maximumViewBytes = 64 * 1024;
 
 /** The connection is gone, and nobody waits for the reply. */
 const ignoreReply = (): void => undefined;
@@ -75,6 +78,10 @@
 		try {
 			const handlers: Readonly<Record<string, () => Promise<void>>> = {
 				'POST /calls': async () => this.#takeCall(request, response),
+				'GET /manifest': async () => {
+					this.#sendManifest(response);
+				},
+				'POST /members': async () => this.#exchangeMembers(request, response),
 				'POST /cancellations': async () => this.#takeCancellation(request, response),
 			};
 			const handler = handlers[`${request.method} ${request.url}`];
@@ -120,6 +127,22 @@
 		response.end(body);
 	}
 
+	async #exchangeMembers(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = await readBody(request, maximumViewBytes);
+		const {sender, buckets, rumors} = parseViewRequest(body.toString('utf8'));
+		const {core} = this.#definition;
+		const reply: ViewReply = {members: core.core.membership.differing(buckets), rumors: core.core.membership.rumors};
+		core.post({type: CoreMessageType.ViewArrived, members: [sender], rumors});
+		response.writeHead(200, {'content-type': 'application/json'});
+		response.end(JSON.stringify(reply));
+	}
+
+	#sendManifest(response: ServerResponse): void {
+		const {manifest} = this.#definition.core.core;
+		response.writeHead(200, {'content-type': 'application/json'});
+		response.end(JSON.stringify(manifest === undefined ? {} : {number: manifest.number, document: manifest.document}));
+	}
+
 	async #takeCancellation(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const body = await readBody(request, maximumCancellationBytes);
 		const callId = parseCallIdOf(body.toString('utf8'));
--- /dev/null
+++ b/packages/node/src/run.ts
@@ -0,0 +1,90 @@
+/**
+ * The command line of the node.
+ *
+ * @module
+ */
+import process from 'node:process';
+import {ErrorKind, LaburnumspoolError} from '@laburnumspool/core';
+import {ExitCode, runCommandLine, version} from '@laburnumspool/manifest';
+import {cac} from 'cac';
+import {ownDeployment, startDaemon, type Deployment} from './daemon.js';
+import {LogPart, openLog, type PartLog} from './logs.js';
+import {readSettings, type Settings} from './settings.js';
+
+type Options = {readonly settings?: string; readonly check?: boolean};
+
+/**
+ * Runs the node's command line.
+ *
+ * @example
+ * await runNode(process.argv);
+ */
+export async function runNode(parameters: readonly string[], deployment = ownDeployment): Promise<void> {
+	// A reader of the log that goes away must not take the node with it.
+	process.stdout.on('error', () => undefined);
+	const cli = cac('laburnumspool-node');
+	cli.command('', 'Run the node beside an upstream')
+		.option('--settings <file>', 'Settings in YAML')
+		.option('--check', 'Only check the settings')
+		.action(async (options: Options) => run(options, deployment));
+	cli.help();
+	cli.version(version);
+	await runCommandLine(cli, [...parameters]);
+}
+
+async function run(options: Options, deployment: Deployment): Promise<ExitCode> {
+	if (typeof options.settings !== 'string') {
+		throw new LaburnumspoolError(ErrorKind.Malformed, '--settings: expected the name of a file');
+	}
+
+	const settings = readSettings(options.settings);
+	if (options.check === true) {
+		process.stdout.write(`${options.settings}: the settings of ${settings.name} are valid\n`);
+		return ExitCode.Done;
+	}
+
+	const openPartLog = openLog(settings.logLevel, settings.logFormat, settings.name);
+	const log = openPartLog(LogPart.Node);
+	const daemon = await startDaemon(settings, openPartLog, deployment);
+	reloadOnSignal(options.settings, settings, log);
+	const superseded = daemon.mustStop.then(reason => {
+		log.error(`stops: ${reason}`);
+		return undefined;
+	});
+	const whenReady = daemon.whenReady().then(() => {
+		log.info(`ready for callers at ${settings.host}:${settings.ports.callers}`);
+	});
+	const signal = await Promise.race([whenStopped(), superseded]);
+	void whenReady;
+	if (signal === undefined) {
+		process.exit(ExitCode.Failed);
+	}
+
+	log.info(`leaves after ${signal}`);
+	const isFinished = await daemon.stop();
+	log.info(isFinished ? 'has left with nothing in flight' : 'has left with calls in flight: the bound on the stop was reached');
+	process.exit(isFinished ? ExitCode.Done : ExitCode.Failed);
+}
+
+async function whenStopped(): Promise<string> {
+	return new Promise(resolve => {
+		process.once('SIGTERM', () => {
+			resolve('SIGTERM');
+		});
+		process.once('SIGINT', () => {
+			resolve('SIGINT');
+		});
+	});
+}
+
+/** The settings say where the node stands and listens, which a running process cannot change; a change is checked and told. */
+function reloadOnSignal(file: string, settings: Settings, log: PartLog): void {
+	process.on('SIGHUP', () => {
+		try {
+			const isSame = JSON.stringify(readSettings(file)) === JSON.stringify(settings);
+			log.info(isSame ? 'read its settings again and found no change' : 'read changed settings; they hold from the next start', {event: 'settings-read'});
+		} catch (error) {
+			log.error(`goes on with its settings: ${error instanceof Error ? error.message : String(error)}`, {event: 'settings-read'});
+		}
+	});
+}
--- a/packages/node/src/store-task.ts
+++ b/packages/node/src/store-task.ts
@@ -5,23 +5,26 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	chooseByRendezvous, holderKey, isGone, NodeEffectType, WriteResultType, type Holder, type RangeRecord, type WriteResult,
+	chooseByRendezvous, holderKey, isGone, NodeEffectType, WriteResultType, type Holder, type Member, type RangeRecord, type Revision, type WriteResult,
 } from '@laburnumspool/core';
 import {
-	manifestKey, parseShipped, SwapResultType, toRevision, type Store, type StoreEntry,
+	SwapResultType, type Store, type StoreEntry,
 } from '@laburnumspool/manifest';
-import {parseRecord} from './control-client.js';
+import {parseMember} from '@laburnumspool/protocol';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import type {PartLog} from './logs.js';
+import {parseRecord} from './range-records.js';
 
 const watchMilliseconds = 20_000;
 const watchersPerRegion = 2;
-const seedsPerDomain = 3;
-const checkMilliseconds = 20_000;
 const lonelyCheckMilliseconds = 500;
-const anySeedKey = 'seeds/any';
+
+/** Pause between two readings of the members for each member known, so that the fleet's readings grow with its size only. */
+const checkMillisecondsPerMember = 400;
+const shortestCheckMilliseconds = 2000;
 const firstPauseMilliseconds = 200;
-const longestPauseMilliseconds = 5000;
+const longestPauseMilliseconds = 1000;
+const holdersPrefix = 'holders/';
 
 export type StoreTaskDefinition = {
 	readonly core: CoreTask;
@@ -30,8 +33,11 @@
 	readonly clock: () => number;
 	readonly random: () => number;
 	readonly leaseMilliseconds: number;
-	/** Seeds of the settings, for when the store does not answer. */
-	readonly seeds: ReadonlyArray<{readonly host: string; readonly port: number}>;
+	readonly manifestKey: string;
+	/** Reads a manifest as the store holds it; throws `invalid-manifest`. */
+	readonly readManifest: (entry: StoreEntry) => Revision;
+	/** Asks peers for a manifest; resolves to whether one gave a newer one. */
+	readonly pullManifest: (from: readonly Member[]) => Promise<boolean>;
 };
 
 /**
@@ -48,10 +54,15 @@
 	#hasHolderKey = false;
 	#failures = 0;
 	#isReadingManifest = false;
+	/** Version of the manifest's key that was read last. */
+	#seenVersion = 0;
 
 	constructor(definition: StoreTaskDefinition) {
 		this.#definition = definition;
 		definition.core.handle({
+			[NodeEffectType.PullManifest]: ({from}) => {
+				void this.#fetchManifest(from);
+			},
 			[NodeEffectType.ReadRecord]: ({service}) => {
 				void this.#readRecord(service);
 			},
@@ -66,7 +77,7 @@
 
 	start(): void {
 		void this.#loop(async () => this.#keepLease(), () => this.#definition.leaseMilliseconds / 3);
-		void this.#loop(async () => this.#keepSeeds(), () => this.#definition.core.core.membership.others.length === 0 ? lonelyCheckMilliseconds : checkMilliseconds);
+		void this.#loop(async () => this.#readMembers(), () => this.#memberPause());
 		void this.#watchManifest();
 	}
 
@@ -80,19 +91,20 @@
 		await this.#definition.store.close();
 	}
 
-	/** Reads the manifest once, when peers do not have it. */
-	readManifest(): void {
+	/** A newer manifest is known to exist: it is asked of peers, and else read from the store. */
+	async #fetchManifest(from: readonly Member[]): Promise<void> {
 		if (this.#isReadingManifest) {
 			return;
 		}
 
 		this.#isReadingManifest = true;
-		void this.#attempt(async () => {
-			const entry = await this.#definition.store.get(manifestKey);
-			this.#takeManifest(entry);
-		}).finally(() => {
-			this.#isReadingManifest = false;
-		});
+		if (!await this.#definition.pullManifest(from)) {
+			await this.#attempt(async () => {
+				this.#takeManifest(await this.#definition.store.get(this.#definition.manifestKey));
+			});
+		}
+
+		this.#isReadingManifest = false;
 	}
 
 	async #keepLease(): Promise<void> {
@@ -116,72 +128,54 @@
 	}
 
 	async #writeHolderKey(lease: string): Promise<void> {
-		const key = `holders/${holderKey(this.#definition.core.core.own)}`;
-		const result = await this.#definition.store.compareAndSwap(key, 0, '', lease);
+		const {own} = this.#definition.core.core;
+		const key = `${holdersPrefix}${holderKey(own)}`;
+		const value = JSON.stringify(own);
+		const result = await this.#definition.store.compareAndSwap(key, 0, value, lease);
 		if (result.type === SwapResultType.Conflict) {
-			await this.#definition.store.compareAndSwap(key, result.current?.version ?? 0, '', lease);
+			await this.#definition.store.compareAndSwap(key, result.current?.version ?? 0, value, lease);
 		}
 
 		this.#hasHolderKey = true;
 	}
 
-	/** A node that knows no others reads the seed records; the few nodes chosen in each failure domain keep them. */
-	async #keepSeeds(): Promise<void> {
-		const {core, store, seeds} = this.#definition;
-		const {own, membership} = core.core;
-		const isAlone = membership.others.length === 0;
-		const {region, failureDomain} = own.location;
-		const keys = Array.from({length: seedsPerDomain}, (_, index) => seedKey(region, failureDomain, index));
-		if (isAlone) {
-			const entries = await Promise.all([...keys, anySeedKey].map(async key => store.get(key)));
-			core.post({type: CoreMessageType.SeedsRead, seeds: [...seeds, ...entries.flatMap(entry => parseSeed(entry))]});
-		}
-
-		const domain = membership.members.filter(member => !isGone(member) && member.location.failureDomain === failureDomain && member.location.region === region);
-		const chosen = chooseByRendezvous(`${region}/${failureDomain}`, domain, member => member.name, seedsPerDomain);
-		const slot = chosen.findIndex(member => member.name === own.name);
-		if (slot !== -1 && this.#lease !== undefined) {
-			await this.#putSeed(keys[slot]!, this.#lease, !isAlone);
-			await this.#putSeed(anySeedKey, this.#lease, false);
-		}
+	/** The entries of all nodes make each findable; what changes after that travels by gossip. */
+	async #readMembers(): Promise<void> {
+		const {core, store} = this.#definition;
+		const entries = await store.list(holdersPrefix);
+		const members = entries.flatMap(entry => parseMember(entry.value) ?? []);
+		core.post({type: CoreMessageType.ViewArrived, members, rumors: []});
 	}
 
-	/** A node that knows no others leaves a record of another as it is: the other is its way to all. */
-	async #putSeed(key: string, lease: string, mayReplace: boolean): Promise<void> {
-		const {core, store} = this.#definition;
-		const value = `${core.core.own.host}:${core.core.own.controlPort}`;
-		const entry = await store.get(key);
-		const isWanted = entry === undefined || (mayReplace && entry.value !== value);
-		if (isWanted) {
-			await store.compareAndSwap(key, entry?.version ?? 0, value, lease);
-		}
+	#memberPause(): number {
+		const count = this.#definition.core.core.membership.others.length;
+		return count === 0 ? lonelyCheckMilliseconds : Math.max(shortestCheckMilliseconds, count * checkMillisecondsPerMember);
 	}
 
-	/** Two nodes of each region watch the store; the others hear of new revisions from their peers. */
+	/** Some nodes of each region watch the store; the others hear of new revisions from their peers. */
 	async #watchManifest(): Promise<void> {
-		const {core, store} = this.#definition;
+		const {core, store, manifestKey} = this.#definition;
 		await this.#loop(async () => {
 			const {own, membership, manifest} = core.core;
 			const region = membership.members.filter(member => !isGone(member) && member.location.region === own.location.region);
 			const watchers = chooseByRendezvous('manifest', region, member => member.name, watchersPerRegion);
-			if (manifest === undefined) {
-				this.#takeManifest(await store.get(manifestKey));
-			} else if (watchers.some(member => member.name === own.name)) {
-				this.#takeManifest(await store.watch(manifestKey, manifest.number, watchMilliseconds));
+			if (manifest === undefined || watchers.some(member => member.name === own.name)) {
+				this.#takeManifest(await store.watch(manifestKey, this.#seenVersion, watchMilliseconds));
 			}
 		}, () => firstPauseMilliseconds);
 	}
 
 	#takeManifest(entry: StoreEntry | undefined): void {
-		const {core, log} = this.#definition;
-		if (entry === undefined || entry.version <= (core.core.manifest?.number ?? 0)) {
+		const {core, log, readManifest} = this.#definition;
+		if (entry === undefined || entry.version <= this.#seenVersion) {
 			return;
 		}
 
+		this.#seenVersion = entry.version;
 		try {
-			core.post({type: CoreMessageType.ManifestArrived, revision: toRevision(entry.version, parseShipped(entry).document)});
+			core.post({type: CoreMessageType.ManifestArrived, revision: readManifest(entry)});
 		} catch (error) {
-			log.error(`revision ${entry.version} of the manifest cannot be read and is not adopted: ${error instanceof Error ? error.message : String(error)}`);
+			log.error(`the manifest at version ${entry.version} cannot be read and is not adopted: ${error instanceof Error ? error.message : String(error)}`);
 		}
 	}
 
@@ -199,7 +193,7 @@
 
 	async #readHolders(holders: readonly Holder[]): Promise<void> {
 		await this.#attempt(async () => {
-			const entries = await Promise.all(holders.map(async holder => this.#definition.store.get(`holders/${holderKey(holder)}`)));
+			const entries = await Promise.all(holders.map(async holder => this.#definition.store.get(`${holdersPrefix}${holderKey(holder)}`)));
 			const present = new Set(holders.flatMap((holder, index) => entries[index] === undefined ? [] : [holderKey(holder)]));
 			this.#definition.core.post({type: CoreMessageType.HoldersRead, asked: holders, present});
 		});
@@ -245,19 +239,10 @@
 	}
 }
 
-function seedKey(region: string, failureDomain: string, index: number): string {
-	return `seeds/${region}/${failureDomain}/${index}`;
-}
-
 function recordKey(service: string): string {
 	return `ranges/${service}`;
 }
 
-function parseSeed(entry: StoreEntry | undefined): Array<{host: string; port: number}> {
-	const [host, port] = entry?.value.split(':') ?? [];
-	return host === undefined || port === undefined ? [] : [{host, port: Number(port)}];
-}
-
 function toWriteResult(result: Awaited<ReturnType<Store['compareAndSwap']>> | undefined): WriteResult {
 	if (result === undefined) {
 		return {type: WriteResultType.Unknown};
--- a/packages/node/src/tests/bad-input.test.ts
+++ b/packages/node/src/tests/bad-input.test.ts
@@ -4,7 +4,7 @@
 import {test, type Test} from 'tap';
 import {request} from 'undici';
 import {
-	type LogPart, startDaemon, type Daemon, type PartLog, type Settings,
+	checkSettings, type LogPart, startDaemon, type Daemon, type PartLog, type Settings,
 } from '../index.js';
 
 async function freePort(): Promise<number> {
@@ -23,11 +23,11 @@
 
 async function start(t: Test): Promise<{daemon: Daemon; settings: Settings; callers: string; peers: string}> {
 	const [callers, peers, control, store] = [await freePort(), await freePort(), await freePort(), await freePort()];
-	const settings: Settings = {
-		name: 'n', region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers, peers, control}, store: {url: `http://127.0.0.1:${store}`, leaseSeconds: 60, workWithoutSeconds: 600}, seeds: [], statsd: undefined, logLevel: 'info', limits: {
+	const settings = checkSettings({
+		name: 'n', region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers, peers, control}, store: {url: `http://127.0.0.1:${store}`}, limits: {
 			requestBytes: 1000, openRequests: 100, slowSenderSeconds: 1, claims: 10, claimAnswerBytes: 1000, events: 100,
-		}, membership: {probeMilliseconds: 1000, suspicionMilliseconds: 3000, exchangeMilliseconds: 10_000}, clockErrorMilliseconds: 100, stopSeconds: 1,
-	};
+		}, clockErrorMilliseconds: 100, stopSeconds: 1,
+	});
 	const daemon = await startDaemon(settings, silentLog);
 	t.teardown(async () => daemon.stop());
 	return {
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -4,20 +4,21 @@
  * @module
  */
 import {
-	NodeEffectType, UpstreamFailure, type NodeEffect,
+	NodeEffectType, UpstreamFailure, type AnswerPayload, type Announcement, type NodeEffect,
 } from '@laburnumspool/core';
 import {Pool} from 'undici';
-import type {UpstreamAnnouncement} from './announcements.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
 	ExchangeFailure, startExchange, type Exchange, type ExchangeResult,
 } from './http-client.js';
-import {HeaderName} from './http-messages.js';
+import {findHeader, HeaderName} from './http-messages.js';
 import type {PartLog} from './logs.js';
+import type {HeaderNames} from './settings.js';
 
 const connectMilliseconds = 1000;
 const extraMilliseconds = 1000;
 const longestMilliseconds = 600_000;
+const misdirectedStatus = 421;
 
 const failures: Readonly<Record<ExchangeFailure, UpstreamFailure>> = {
 	[ExchangeFailure.NotConnected]: UpstreamFailure.NotConnected,
@@ -32,20 +33,25 @@
  * Sends calls to the upstream, over no more connections than it announced.
  *
  * @example
- * const upstream = new UpstreamClient(core, log);
- * upstream.setUpstream(announcement);
+ * const upstream = new UpstreamClient(core, settings.headers, log);
  */
 export class UpstreamClient {
 	readonly #core: CoreTask;
 	readonly #log: PartLog;
+	readonly #headers: HeaderNames;
 	readonly #open = new Map<string, Exchange>();
 	#pool: Pool | undefined;
 	#poolKey = '';
+	#instance: string | undefined;
 
-	constructor(core: CoreTask, log: PartLog) {
+	constructor(core: CoreTask, headers: HeaderNames, log: PartLog) {
 		this.#core = core;
+		this.#headers = headers;
 		this.#log = log;
 		core.handle({
+			[NodeEffectType.UpstreamAnnounced]: ({announcement}) => {
+				this.#setUpstream(announcement);
+			},
 			[NodeEffectType.Dispatch]: effect => {
 				this.#dispatch(effect);
 			},
@@ -55,9 +61,14 @@
 		});
 	}
 
-	setUpstream({address, connections, announcement}: UpstreamAnnouncement): void {
-		const connectionCount = Math.min(connections, announcement.slots);
-		const key = `${address} ${connectionCount}`;
+	async close(): Promise<void> {
+		await this.#pool?.destroy();
+	}
+
+	#setUpstream({address = '', connections, slots, service, instance}: Announcement): void {
+		const connectionCount = Math.min(connections ?? slots, slots);
+		this.#instance = instance;
+		const key = `${address} ${connectionCount} ${instance ?? ''}`;
 		if (key === this.#poolKey) {
 			return;
 		}
@@ -65,14 +76,10 @@
 		const previous = this.#pool;
 		this.#poolKey = key;
 		this.#pool = new Pool(`http://${address}`, {connections: connectionCount, pipelining: 1, connectTimeout: connectMilliseconds});
-		this.#log.info(`${announcement.service} is at ${address} with ${announcement.slots} slots`);
+		this.#log.info(`${service} ${instance ?? ''} is at ${address} with ${slots} slots`);
 		void previous?.close();
 	}
 
-	async close(): Promise<void> {
-		await this.#pool?.destroy();
-	}
-
 	#dispatch(effect: DispatchEffect): void {
 		const {callId} = effect;
 		if (this.#pool === undefined) {
@@ -81,14 +88,16 @@
 		}
 
 		const {request, traceparent, tracestate, timeLeftMilliseconds, answerBytesLimit} = effect;
+		const {timeLeft, expectedInstance} = this.#headers;
 		const headers = [
 			...request.headers,
 			HeaderName.TraceParent,
 			traceparent,
 			HeaderName.TraceState,
 			tracestate,
-			HeaderName.Timeout,
+			timeLeft,
 			String(Math.floor(timeLeftMilliseconds)),
+			...(expectedInstance === undefined || this.#instance === undefined ? [] : [expectedInstance, this.#instance]),
 		];
 		const exchange = startExchange(this.#pool, {
 			method: request.method,
@@ -99,18 +108,44 @@
 			timeoutMilliseconds: Math.min(longestMilliseconds, (timeLeftMilliseconds * 2) + extraMilliseconds),
 		}, result => {
 			this.#open.delete(callId);
-			this.#report(callId, result);
+			this.#report(effect, result);
 		});
 		this.#open.set(callId, exchange);
 	}
 
-	#report(callId: string, result: ExchangeResult): void {
+	#report(effect: DispatchEffect, result: ExchangeResult): void {
+		const {callId} = effect;
 		if (!result.success) {
 			this.#core.post({type: CoreMessageType.UpstreamFailed, callId, failure: failures[result.failure]});
 			return;
 		}
 
 		const {status, headers, body} = result;
-		this.#core.post({type: CoreMessageType.UpstreamAnswered, callId, answer: {status, headers, body}});
+		const answer = {status, headers, body};
+		const failure = this.#failureOf(effect, answer);
+		this.#core.post(failure === undefined
+			? {type: CoreMessageType.UpstreamAnswered, callId, answer}
+			: {type: CoreMessageType.UpstreamFailed, callId, failure});
+	}
+
+	/** What an answer says beside its body: that the request was not run, or that the answer is not its own. */
+	#failureOf({callId, requestId}: DispatchEffect, {status, headers}: AnswerPayload): UpstreamFailure | undefined {
+		const {notExecuted, requestId: requestIdName, signature} = this.#headers;
+		if (status === misdirectedStatus && this.#headers.expectedInstance !== undefined) {
+			return UpstreamFailure.OtherInstance;
+		}
+
+		if (findHeader(headers, notExecuted) !== undefined) {
+			return UpstreamFailure.Refused;
+		}
+
+		const repeated = findHeader(headers, requestIdName);
+		if (repeated !== undefined && repeated !== requestId) {
+			this.#log.warn(`the answer to ${callId} belongs to request ${repeated} in place of ${requestId}`);
+			return UpstreamFailure.Broken;
+		}
+
+		const isUnsigned = signature !== undefined && status < 300 && findHeader(headers, signature) === undefined;
+		return isUnsigned ? UpstreamFailure.Broken : undefined;
 	}
 }
--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -6,7 +6,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	ErrorKind, Importance, LaburnumspoolError, Outcome, type AnswerFrame, type CallFrame, type HybridTime,
+	ErrorKind, Importance, LaburnumspoolError, Outcome, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
 } from '@laburnumspool/core';
 import * as valibot from 'valibot';
 
@@ -17,8 +17,11 @@
 const callHeadSchema = valibot.object({
 	callId: valibot.string(),
 	action: valibot.object({actionId: valibot.string(), foreignState: valibot.array(valibot.string())}),
+	requestId: valibot.string(),
 	service: valibot.string(),
 	kind: valibot.string(),
+	semantics: valibot.enum(Semantics),
+	answerBytesLimit: valibot.number(),
 	importance: valibot.enum(Importance),
 	priority: valibot.number(),
 	timeLeftMilliseconds: valibot.pipe(valibot.number(), valibot.minValue(0)),
--- a/packages/protocol/src/control-service.ts
+++ b/packages/protocol/src/control-service.ts
@@ -31,8 +31,6 @@
 
 /** Definition for servers and clients. */
 export const controlService = {
-	exchangeMembers: method<wire.IExchangeRequest, wire.IExchangeReply>('ExchangeMembers', control.ExchangeRequest, control.ExchangeReply),
-	pullManifest: method<wire.IManifestRequest, wire.IManifestReply>('PullManifest', control.ManifestRequest, control.ManifestReply),
 	pullRecord: method<wire.IRecordRequest, wire.IRecordReply>('PullRecord', control.RecordRequest, control.RecordReply),
 	sendOnce: method<wire.IOnceEnvelope, wire.IEmpty>('SendOnce', control.OnceEnvelope, control.Empty),
 	readEvents: method<wire.IEventsRequest, wire.IEventsReply>('ReadEvents', control.EventsRequest, control.EventsReply),
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,4 +5,4 @@
  */
 export * from './call-codec.js';
 export * from './control-codec.js';
-export * from './control-service.js';
+export * from './view-codec.js';
--- a/packages/protocol/src/tests/codecs.test.ts
+++ b/packages/protocol/src/tests/codecs.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {
-	ErrorKind, GossipType, Importance, Liveness, OnceMessageType, Outcome, UpstreamState, type AnswerFrame, type CallFrame, type Member,
+	ErrorKind, GossipType, Importance, Liveness, OnceMessageType, Outcome, Semantics, UpstreamState, type AnswerFrame, type CallFrame, type Member,
 } from '@laburnumspool/core';
 import fc from 'fast-check';
 import {test} from 'tap';
@@ -13,7 +13,7 @@
 };
 
 const frame: CallFrame = {
-	callId: 'n.1.1', action: {actionId: 'a'.repeat(32), foreignState: ['x=1']}, service: 's', kind: 'k', importance: Importance.High, priority: 300, timeLeftMilliseconds: 12.5, retries: 2, key: undefined, epoch: 0, lastResort: false, revision: 3, request: {
+	callId: 'n.1.1', action: {actionId: 'a'.repeat(32), foreignState: ['x=1']}, requestId: 'r-1', service: 's', kind: 'k', semantics: Semantics.Idempotent, answerBytesLimit: 100, importance: Importance.High, priority: 300, timeLeftMilliseconds: 12.5, retries: 2, key: undefined, epoch: 0, lastResort: false, revision: 3, request: {
 		method: 'GET', target: '/ä?x=1', headers: ['a', 'b'], body: Buffer.from('body'), digest: 'd',
 	},
 };
--- /dev/null
+++ b/packages/protocol/src/view-codec.ts
@@ -0,0 +1,74 @@
+/**
+ * Views of the membership that nodes exchange, as JSON.
+ *
+ * @module
+ */
+import {
+	ErrorKind, LaburnumspoolError, Liveness, UpstreamState,
+} from '@laburnumspool/core';
+import * as valibot from 'valibot';
+
+const port = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0), valibot.maxValue(65_535));
+
+/** Schema of a member. */
+export const memberSchema = valibot.object({
+	name: valibot.string(),
+	incarnation: valibot.number(),
+	version: valibot.number(),
+	location: valibot.object({region: valibot.string(), failureDomain: valibot.string()}),
+	host: valibot.string(),
+	callersPort: port,
+	peersPort: port,
+	controlPort: port,
+	service: valibot.string(),
+	state: valibot.enum(UpstreamState),
+	slots: valibot.number(),
+	liveness: valibot.enum(Liveness),
+});
+
+const rumorSchema = valibot.object({topic: valibot.string(), version: valibot.number()});
+
+const viewRequestSchema = valibot.object({sender: memberSchema, buckets: valibot.array(valibot.number()), rumors: valibot.array(rumorSchema)});
+const viewReplySchema = valibot.object({members: valibot.array(memberSchema), rumors: valibot.array(rumorSchema)});
+
+/** The sender's digests, for which the other node sends what the sender lacks. */
+export type ViewRequest = valibot.InferOutput<typeof viewRequestSchema>;
+/** What the sender of a request lacks. */
+export type ViewReply = valibot.InferOutput<typeof viewReplySchema>;
+
+/** Reads a request for a view; throws `malformed`. */
+export function parseViewRequest(text: string): ViewRequest {
+	return parse(viewRequestSchema, text);
+}
+
+/** Reads a view; throws `malformed`. */
+export function parseViewReply(text: string): ViewReply {
+	return parse(viewReplySchema, text);
+}
+
+/** Reads a member; undefined when the text is none. */
+export function parseMember(text: string): valibot.InferOutput<typeof memberSchema> | undefined {
+	try {
+		return parse(memberSchema, text);
+	} catch {
+		return undefined;
+	}
+}
+
+function parse<Schema extends valibot.GenericSchema>(schema: Schema, text: string): valibot.InferOutput<Schema> {
+	const result = valibot.safeParse(schema, parseJson(text));
+	if (!result.success) {
+		const [issue] = result.issues;
+		throw new LaburnumspoolError(ErrorKind.Malformed, `${valibot.getDotPath(issue) ?? 'view'}: ${issue.message}`);
+	}
+
+	return result.output;
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch (error) {
+		throw new LaburnumspoolError(ErrorKind.Malformed, 'The view is not JSON', {cause: error});
+	}
+}
--- a/packages/timeline/src/collect.ts
+++ b/packages/timeline/src/collect.ts
@@ -6,7 +6,8 @@
 import {promisify} from 'node:util';
 import {credentials, type Client} from '@grpc/grpc-js';
 import type {NodeEvent} from '@laburnumspool/core';
-import {ControlClient, fromWireEvent, type wire} from '@laburnumspool/protocol';
+import {fromWireEvent} from '@laburnumspool/protocol';
+import {ControlClient, type wire} from '@laburnumspool/protocol/control';
 
 const answerMilliseconds = 5000;
 const maximumMessageBytes = 64 * 1024 * 1024;
--- a/standins/store/src/store-server.ts
+++ b/standins/store/src/store-server.ts
@@ -172,6 +172,12 @@
 		const now = Date.now();
 		const handlers: Readonly<Record<string, () => Reply>> = {
 			'GET keys': () => {
+				const prefix = url.searchParams.get('prefix');
+				if (prefix !== null) {
+					const entries = this.state.keys(prefix).flatMap(key => this.state.read(key, now) ?? []);
+					return {status: 200, body: {entries: entries.map(entry => toBody(entry))}};
+				}
+
 				const entry = this.state.read(keyOf(url), now);
 				return entry === undefined ? {status: 404, body: {message: 'No such key'}} : {status: 200, body: toBody(entry)};
 			},
