--- a/packages/core/src/entry/entry.ts
+++ b/packages/core/src/entry/entry.ts
@@ -38,6 +38,12 @@
 	readonly #entryIdByCallId = new Map<string, number>();
 	readonly #shares = new Map<string, RetryShare>();
 
+	readonly #phaseHandlers: Readonly<Record<EntryPhase, (state: EntryState, now: number) => EntryEffect[]>> = {
+		[EntryPhase.Locating]: (state, now) => this.#advanceLocating(state, now),
+		[EntryPhase.Sent]: (state, now) => now >= state.request.deadline ? this.#startCancelling(state, now) : [],
+		[EntryPhase.Cancelling]: (state, now) => now >= state.cancelUntil ? this.#giveUp(state, now) : [],
+	};
+
 	constructor(definition: EntryDefinition) {
 		this.#definition = definition;
 	}
@@ -148,12 +154,7 @@
 	}
 
 	#advanceCall(state: EntryState, now: number): EntryEffect[] {
-		const handlers: Readonly<Record<EntryPhase, () => EntryEffect[]>> = {
-			[EntryPhase.Locating]: () => this.#advanceLocating(state, now),
-			[EntryPhase.Sent]: () => now >= state.request.deadline ? this.#startCancelling(state, now) : [],
-			[EntryPhase.Cancelling]: () => now >= state.cancelUntil ? this.#giveUp(state, now) : [],
-		};
-		return handlers[state.phase]();
+		return this.#phaseHandlers[state.phase](state, now);
 	}
 
 	#advanceLocating(state: EntryState, now: number): EntryEffect[] {
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -16,7 +16,7 @@
 import type {RequestPolicy} from '../manifest/model.js';
 import {UpstreamState, type Member} from '../membership/member.js';
 import type {Membership} from '../membership/membership.js';
-import type {AnswerFrame, CallFrame} from '../messages.js';
+import type {AnswerFrame, CallerAnswer, CallFrame} from '../messages.js';
 import type {Once} from '../once/once.js';
 import type {RangeDirectory} from '../once/range-directory.js';
 import type {Router} from '../routing/router.js';
@@ -29,6 +29,9 @@
 
 const spanDigits = 16;
 
+type EntryHandlers = {readonly [Type in EntryEffectType]: (effect: Extract<EntryEffect, {type: Type}>, now: number) => NodeEffect[]};
+type ServingHandlers = {readonly [Type in ServingEffectType]: (effect: Extract<ServingEffect, {type: Type}>, now: number) => NodeEffect[]};
+
 /** Parts of the node that calls pass through. */
 export type CallFlowParts = {
 	readonly node: NodeDefinition;
@@ -58,6 +61,29 @@
 	readonly #parts: CallFlowParts;
 	readonly #localCalls = new Set<string>();
 	readonly #nestedParents = new Map<number, string>();
+	readonly #entryHandlers: EntryHandlers = {
+		[EntryEffectType.Send]: ({destination, frame}, now) => this.#sendCall(destination.member, frame, now),
+		[EntryEffectType.CancelAtPeer]: ({member, callId}, now) => this.#cancelCall(member, callId, now),
+		[EntryEffectType.AnswerCaller]: ({entryId, answer, request}, now) => this.#answerCaller(entryId, answer, request, now),
+		[EntryEffectType.Retried]: ({request, error}) => [this.#requestEvent(EventType.Retried, request, error.kind)],
+		[EntryEffectType.StaleAnswer]: ({callId}) => [this.#parts.makeEvent({type: EventType.StaleAnswer, detail: callId})],
+		[EntryEffectType.RangeOutdated]: ({service}) => {
+			this.#parts.directory.want(service);
+			return [];
+		},
+	};
+
+	readonly #servingHandlers: ServingHandlers = {
+		[ServingEffectType.Dispatch]: ({frame, timeLeftMilliseconds}) => [this.#dispatch(frame, timeLeftMilliseconds)],
+		[ServingEffectType.CancelDispatch]: ({callId}) => [{type: NodeEffectType.CancelDispatch, callId}],
+		[ServingEffectType.CancelNested]: ({callId}, now) => this.#cancelNested(callId, now),
+		[ServingEffectType.Answer]: ({frame}, now) => this.#answerCall(frame, now),
+		[ServingEffectType.Once]: ({effect}) => this.#parts.onceEffects.carryOut(effect),
+		[ServingEffectType.Admitted]: ({frame}) => [this.#callEvent(EventType.Admitted, frame, frame.callId)],
+		[ServingEffectType.Preempted]: ({frame}) => [this.#callEvent(EventType.Preempted, frame, frame.callId)],
+		[ServingEffectType.Refused]: ({frame, reason}) => [this.#callEvent(EventType.Refused, frame, reason)],
+	};
+
 
 	constructor(parts: CallFlowParts) {
 		this.#parts = parts;
@@ -87,44 +113,11 @@
 	}
 
 	fromEntry(effects: readonly EntryEffect[], now: number): NodeEffect[] {
-		return effects.flatMap(effect => {
-			const handlers: {readonly [Type in EntryEffectType]: (effect: Extract<EntryEffect, {type: Type}>) => NodeEffect[]} = {
-				[EntryEffectType.Send]: ({destination, frame}) => this.#sendCall(destination.member, frame, now),
-				[EntryEffectType.CancelAtPeer]: ({member, callId}) => this.#cancelCall(member, callId, now),
-				[EntryEffectType.AnswerCaller]: ({entryId, answer, request}) => {
-					this.#endNested(entryId, now);
-					const details = {
-						type: EventType.Answered, action: request.action.actionId, request: request.requestId, service: request.service, kind: request.policy.kind, detail: answer.error?.kind ?? answer.outcome,
-					};
-					return [this.#parts.makeEvent(details), {type: NodeEffectType.AnswerCaller, entryId, answer}];
-				},
-				[EntryEffectType.Retried]: ({request, error}) => [this.#parts.makeEvent({
-					type: EventType.Retried, action: request.action.actionId, request: request.requestId, service: request.service, kind: request.policy.kind, detail: error.kind,
-				})],
-				[EntryEffectType.StaleAnswer]: ({callId}) => [this.#parts.makeEvent({type: EventType.StaleAnswer, detail: callId})],
-				[EntryEffectType.RangeOutdated]: ({service}) => {
-					this.#parts.directory.want(service);
-					return [];
-				},
-			};
-			return (handlers[effect.type] as (effect: EntryEffect) => NodeEffect[])(effect);
-		});
+		return effects.flatMap(effect => (this.#entryHandlers[effect.type] as (effect: EntryEffect, now: number) => NodeEffect[])(effect, now));
 	}
 
 	fromServing(effects: readonly ServingEffect[], now: number): NodeEffect[] {
-		return effects.flatMap(effect => {
-			const handlers: {readonly [Type in ServingEffectType]: (effect: Extract<ServingEffect, {type: Type}>) => NodeEffect[]} = {
-				[ServingEffectType.Dispatch]: ({frame, timeLeftMilliseconds}) => [this.#dispatch(frame, timeLeftMilliseconds)],
-				[ServingEffectType.CancelDispatch]: ({callId}) => [{type: NodeEffectType.CancelDispatch, callId}],
-				[ServingEffectType.CancelNested]: ({callId}) => this.#cancelNested(callId, now),
-				[ServingEffectType.Answer]: ({frame}) => this.#answerCall(frame, now),
-				[ServingEffectType.Once]: ({effect: onceEffect}) => this.#parts.onceEffects.carryOut(onceEffect),
-				[ServingEffectType.Admitted]: ({frame}) => [this.#callEvent(EventType.Admitted, frame, frame.callId)],
-				[ServingEffectType.Preempted]: ({frame}) => [this.#callEvent(EventType.Preempted, frame, frame.callId)],
-				[ServingEffectType.Refused]: ({frame, reason}) => [this.#callEvent(EventType.Refused, frame, reason)],
-			};
-			return (handlers[effect.type] as (effect: ServingEffect) => NodeEffect[])(effect);
-		});
+		return effects.flatMap(effect => (this.#servingHandlers[effect.type] as (effect: ServingEffect, now: number) => NodeEffect[])(effect, now));
 	}
 
 	#createEntry(): Entry {
@@ -171,6 +164,17 @@
 		return [...effects, ...this.fromEntry(this.entry.cancelReplied(callId, result, now), now)];
 	}
 
+	#answerCaller(entryId: number, answer: CallerAnswer, request: EntryRequest, now: number): NodeEffect[] {
+		this.#endNested(entryId, now);
+		return [this.#requestEvent(EventType.Answered, request, answer.error?.kind ?? answer.outcome), {type: NodeEffectType.AnswerCaller, entryId, answer}];
+	}
+
+	#requestEvent(type: EventType, {action, requestId, service, policy}: EntryRequest, detail: string): NodeEffect {
+		return this.#parts.makeEvent({
+			type, action: action.actionId, request: requestId, service, kind: policy.kind, detail,
+		});
+	}
+
 	#dispatch(frame: CallFrame, timeLeftMilliseconds: number): NodeEffect {
 		const spanId = this.#parts.node.newActionId().slice(0, spanDigits);
 		const context = {traceId: frame.action.actionId, foreignState: frame.action.foreignState};
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -43,7 +43,7 @@
 
 const behindHoldMilliseconds = 250;
 const announcementLifeMilliseconds = 5000;
-const slowIntervalMilliseconds = 50;
+const slowIntervalMilliseconds = 100;
 const manifestPullPauseMilliseconds = 250;
 const spanDigits = 16;
 
--- a/packages/core/src/serving/serving.ts
+++ b/packages/core/src/serving/serving.ts
@@ -50,6 +50,8 @@
 	readonly levelBelow: (policy: RequestPolicy, now: number) => number;
 };
 
+type GuardHandlers = {readonly [Type in GuardEffectType]: (call: ServedCall, effect: Extract<GuardEffect, {type: Type}>, now: number) => ServingEffect[]};
+
 /** The call that encloses calls of the upstream. */
 export type EnclosingCall = Pick<ServedCall, 'frame' | 'account' | 'work'>;
 
@@ -66,6 +68,12 @@
 	readonly #calls = new Map<string, ServedCall>();
 	readonly #answered = new SeenCalls(answeredKeepMilliseconds, answeredMaximumEntries);
 
+	readonly #guardHandlers: GuardHandlers = {
+		[GuardEffectType.Dispatch]: (call, _effect, now) => this.#granted(call, now),
+		[GuardEffectType.Refuse]: (call, {reason}, now) => this.#refusedByGuard(call, reason, now),
+		[GuardEffectType.CancelDispatch]: (call, {reason}) => this.#cancelDispatch(call, reason),
+	};
+
 	constructor(definition: ServingDefinition) {
 		this.#definition = definition;
 	}
@@ -224,12 +232,7 @@
 				return [];
 			}
 
-			const handlers: Readonly<Record<GuardEffectType, () => ServingEffect[]>> = {
-				[GuardEffectType.Dispatch]: () => this.#granted(call, now),
-				[GuardEffectType.Refuse]: () => effect.type === GuardEffectType.Refuse ? this.#refusedByGuard(call, effect.reason, now) : [],
-				[GuardEffectType.CancelDispatch]: () => effect.type === GuardEffectType.CancelDispatch ? this.#cancelDispatch(call, effect.reason) : [],
-			};
-			return handlers[effect.type]();
+			return (this.#guardHandlers[effect.type] as (call: ServedCall, effect: GuardEffect, now: number) => ServingEffect[])(call, effect, now);
 		});
 	}
 
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -8,6 +8,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {performance} from 'node:perf_hooks';
 import {
 	ErrorKind, LaburnumspoolError, NodeEffectType, type CallerAnswer, type CallerLimits, type CallerRequest,
 } from '@laburnumspool/core';
@@ -49,7 +50,7 @@
 export class CallersServer {
 	readonly #definition: CallersServerDefinition;
 	readonly #server: Server;
-	readonly #open = new Map<number, ServerResponse>();
+	readonly #open = new Map<number, {readonly response: ServerResponse; readonly startedAt: number}>();
 	readonly #dropped: ReadonlySet<string>;
 	#bodyBytes: number;
 	#lastEntryId = 0;
@@ -129,7 +130,7 @@
 		const entryId = this.#lastEntryId;
 		const body = await readBody(request, this.#bodyBytes);
 		const callerRequest = this.#toCallerRequest(entryId, request, url, body);
-		this.#open.set(entryId, response);
+		this.#open.set(entryId, {response, startedAt: performance.now()});
 		response.once('close', () => {
 			if (this.#open.delete(entryId)) {
 				this.#definition.core.post({type: CoreMessageType.CallerGone, entryId});
@@ -142,11 +143,15 @@
 	}
 
 	#answer(entryId: number, answer: CallerAnswer): void {
-		const response = this.#open.get(entryId);
-		if (response === undefined || !this.#open.delete(entryId)) {
+		const open = this.#open.get(entryId);
+		if (open === undefined) {
 			return;
 		}
 
+		const {response, startedAt} = open;
+		this.#open.delete(entryId);
+		this.#definition.observeAnswer(answer.outcome, performance.now() - startedAt);
+
 		if (this.#isStopping) {
 			response.shouldKeepAlive = false;
 		}
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import {randomBytes} from 'node:crypto';
 import {once} from 'node:events';
 import type {Server} from 'node:http';
 import {performance} from 'node:perf_hooks';
@@ -15,6 +14,7 @@
 	openHttpStore, parseShipped, toRevision, type Store, type StoreEntry,
 } from '@laburnumspool/manifest';
 import {v7 as newTimedKey} from 'uuid';
+import {createActionIds} from './action-ids.js';
 import {CallersServer} from './callers-server.js';
 import {CoreMessageType, CoreTask} from './core-task.js';
 import {logEvent} from './event-log.js';
@@ -28,8 +28,12 @@
 import {StoreTask} from './store-task.js';
 import {UpstreamClient} from './upstream-client.js';
 
-const tickMilliseconds = 5;
+
+/** Time between two looks at the clock while calls are open, which bounds how late a deadline is noticed, and else. */
+const busyTickMilliseconds = 15;
+const idleTickMilliseconds = 100;
 const gaugeMilliseconds = 1000;
+const linkWatchMilliseconds = 200;
 const stopPollMilliseconds = 20;
 const farewellMilliseconds = 600;
 const startPollMilliseconds = 20;
@@ -74,7 +78,7 @@
 	const clock = (): number => performance.now();
 	const core = new CoreTask(toDefinition(settings), clock, settings.limits.events, openPartLog(LogPart.Node));
 	const upstream = new UpstreamClient(core, settings.headers, openPartLog(LogPart.Upstream));
-	const peersClient = new PeersClient(core, openPartLog(LogPart.Peers));
+	const peersClient = new PeersClient({core, log: openPartLog(LogPart.Peers), clock});
 	const gossip = new GossipSocket(core, openPartLog(LogPart.Control));
 	const store = new StoreTask({
 		core,
@@ -130,9 +134,15 @@
 	]);
 	const controlCalls = settings.controlCalls ? await startControlCalls(settings, core, clock) : undefined;
 	store.start();
-	const ticks = setInterval(() => {
+	const tick = (): void => {
 		core.post({type: CoreMessageType.Tick});
-	}, tickMilliseconds);
+		ticks = setTimeout(tick, core.core.openCalls > 0 ? busyTickMilliseconds : idleTickMilliseconds);
+	};
+
+	let ticks = setTimeout(tick, idleTickMilliseconds);
+	const watches = setInterval(() => {
+		peersClient.watch();
+	}, linkWatchMilliseconds);
 	const gauges = setInterval(() => {
 		metrics.gauge(core.core);
 		peersClient.keepOnly(core.core.members);
@@ -140,8 +150,9 @@
 	}, gaugeMilliseconds);
 
 	const close = async (): Promise<void> => {
-		clearInterval(ticks);
+		clearTimeout(ticks);
 		clearInterval(gauges);
+		clearInterval(watches);
 		callersServer.close();
 		peersServer.close();
 		ownServers.map(({server}) => server.close());
@@ -234,7 +245,7 @@
 		own: toMember(settings),
 		wallClock: () => Date.now(),
 		random: Math.random,
-		newActionId: () => randomBytes(16).toString('hex'),
+		newActionId: createActionIds(),
 		newKey: () => newTimedKey(),
 		membershipTimes: {
 			probeIntervalMilliseconds: settings.membership.probeMilliseconds,
--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import type {Dispatcher, Pool} from 'undici';
+import type {Dispatcher} from 'undici';
 
 /** How an exchange failed. */
 export enum ExchangeFailure {
@@ -23,6 +23,8 @@
 		| {readonly success: false; readonly failure: ExchangeFailure};
 
 export type ExchangeRequest = {
+	/** Where the request goes, when the dispatcher has more than one destination. */
+	readonly origin?: string;
 	readonly method: string;
 	readonly path: string;
 	readonly headers: string[];
@@ -44,10 +46,11 @@
  * @example
  * const exchange = startExchange(pool, request, result => console.log(result));
  */
-export function startExchange(pool: Pool, request: ExchangeRequest, report: (result: ExchangeResult) => void): Exchange {
+export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void): Exchange {
 	const handler = new ExchangeHandler(request.maximumBytes, report);
-	const {method, path, headers, body, timeoutMilliseconds} = request;
+	const {origin, method, path, headers, body, timeoutMilliseconds} = request;
 	pool.dispatch({
+		...(origin === undefined ? {} : {origin}),
 		method,
 		path,
 		headers,
--- a/packages/node/src/http-messages.ts
+++ b/packages/node/src/http-messages.ts
@@ -73,15 +73,17 @@
 
 			chunks.push(chunk);
 		});
+		const endEarly = (): void => {
+			if (!request.complete) {
+				reject(new LaburnumspoolError(ErrorKind.Malformed, 'The body ended early'));
+			}
+		};
+
 		request.once('end', () => {
 			resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, length));
 		});
-		request.once('close', () => {
-			reject(new LaburnumspoolError(ErrorKind.Malformed, 'The body ended early'));
-		});
-		request.once('error', () => {
-			reject(new LaburnumspoolError(ErrorKind.Malformed, 'The body ended early'));
-		});
+		request.once('close', endEarly);
+		request.once('error', endEarly);
 	});
 }
 
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -17,6 +17,8 @@
 
 const eventsWithReason: ReadonlySet<EventType> = new Set([EventType.Refused, EventType.Answered]);
 
+type EventLabels = Readonly<Record<'type' | 'service' | 'kind' | 'reason', string>>;
+
 /** Where metrics are kept. */
 export type Metrics = {
 	readonly count: (event: NodeEvent) => void;
@@ -37,9 +39,19 @@
 	const registry = new Registry();
 	const registers = [registry];
 	registry.setDefaultLabels({node});
+	const counts = new Map<string, {readonly labels: EventLabels; count: number}>();
 	const events = new Counter({
-		name: `${prefix}events_total`, help: 'Events of the node by type, service, kind and reason', labelNames: ['type', 'service', 'kind', 'reason'], registers,
+		name: `${prefix}events_total`,
+		help: 'Events of the node by type, service, kind and reason',
+		labelNames: ['type', 'service', 'kind', 'reason'],
+		registers,
+		// The library's own counting has a price for each event; it gets the counts when they are read.
+		collect() {
+			this.reset();
+			[...counts.values()].map(({labels, count}) => this.inc(labels, count));
+		},
 	});
+	void events;
 	const gauges = new Gauge({
 		name: `${prefix}state`, help: 'State of the node by name', labelNames: ['name'], registers,
 	});
@@ -50,10 +62,20 @@
 	return {
 		count(event) {
 			const reason = eventsWithReason.has(event.type) ? event.detail ?? '' : '';
-			events.inc({
-				type: event.type, service: event.service ?? '', kind: event.kind ?? '', reason,
-			});
-			client?.increment(`events.${event.type}`, 1, {service: event.service ?? '', kind: event.kind ?? '', reason});
+			const {type, service = '', kind = ''} = event;
+			const key = `${type}/${service}/${kind}/${reason}`;
+			const known = counts.get(key);
+			if (known === undefined) {
+				counts.set(key, {
+					labels: {
+						type, service, kind, reason,
+					}, count: 1,
+				});
+			} else {
+				known.count += 1;
+			}
+
+			client?.increment(`events.${type}`, 1, {service, kind, reason});
 		},
 		gauge(core) {
 			Object.entries(gaugesOf(core)).map(([name, value]) => {
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -1,28 +1,27 @@
 /**
- * The task that owns the connections for calls to other nodes.
+ * The task that owns the links for calls to other nodes, and asks them for views and manifests.
  *
  * @module
  */
 import {Buffer} from 'node:buffer';
+import {request as sendRequest, type ClientRequest} from 'node:http';
 import {
-	CancelResult, NodeEffectType, SendFailure, type Member, type NodeEffect,
+	CancelResult, NodeEffectType, SendFailure, type CallFrame, type Member, type NodeEffect,
 } from '@laburnumspool/core';
 import {
-	decodeAnswer, encodeCall, parseViewReply, type ViewRequest,
+	decodeAnswer, encodeCall, FrameType, parseViewReply, type Frame, type ViewRequest,
 } from '@laburnumspool/protocol';
-import {Pool} from 'undici';
+import {Agent} from 'undici';
 import * as valibot from 'valibot';
 import {CoreMessageType, type CoreTask} from './core-task.js';
-import {ExchangeFailure, startExchange, type ExchangeResult} from './http-client.js';
+import {startExchange, type ExchangeResult} from './http-client.js';
 import type {PartLog} from './logs.js';
+import {linkProtocol, PeerLink} from './peer-link.js';
 
-const connectionsPerPeer = 64;
 const connectMilliseconds = 500;
-const extraMilliseconds = 1000;
-const cancelMilliseconds = 500;
 const controlMilliseconds = 1000;
-const maximumAnswerBytes = 80 * 1024 * 1024;
-const idleMilliseconds = 60_000;
+const maximumAnswerBytes = 16 * 1024 * 1024;
+const idleMilliseconds = 10_000;
 
 const pulledSchema = valibot.object({number: valibot.number(), document: valibot.string()});
 
@@ -32,21 +31,37 @@
 type PeerAddress = Pick<Member, 'host' | 'peersPort'>;
 type SendEffect = Extract<NodeEffect, {type: NodeEffectType.SendCall}>;
 
+/** Way to one node: connecting while it has no link. */
+type Way = {
+	readonly address: string;
+	readonly connecting: ClientRequest;
+	link: PeerLink | undefined;
+	/** Frames that wait for the link. */
+	waiting: Array<{readonly type: FrameType; readonly content: Buffer}>;
+	/** Calls without an answer. */
+	readonly calls: Set<string>;
+};
+
+export type PeersClientDefinition = {
+	readonly core: CoreTask;
+	readonly log: PartLog;
+	readonly clock: () => number;
+};
+
 /**
  * Sends calls and cancellations to other nodes.
  *
  * @example
- * const peers = new PeersClient(core, log);
+ * const peers = new PeersClient({core, log, clock});
  */
 export class PeersClient {
-	readonly #core: CoreTask;
-	readonly #log: PartLog;
-	readonly #pools = new Map<string, Pool>();
-
-	constructor(core: CoreTask, log: PartLog) {
-		this.#core = core;
-		this.#log = log;
-		core.handle({
+	readonly #definition: PeersClientDefinition;
+	readonly #ways = new Map<string, Way>();
+	readonly #control = new Agent({connections: 1, pipelining: 1, connectTimeout: connectMilliseconds, keepAliveTimeout: idleMilliseconds});
+
+	constructor(definition: PeersClientDefinition) {
+		this.#definition = definition;
+		definition.core.handle({
 			[NodeEffectType.SendCall]: effect => {
 				this.#send(effect);
 			},
@@ -59,21 +74,21 @@
 		});
 	}
 
-	/** Closes connections to nodes that are gone. */
+	/** Closes links to nodes that are gone. */
 	keepOnly(members: readonly Member[]): void {
 		const addresses = new Set(members.map(member => addressOf(member)));
-		const gone = [...this.#pools].filter(([address]) => !addresses.has(address));
-		gone.map(([address]) => this.#pools.delete(address));
-		void Promise.all(gone.map(async ([, pool]) => pool.close()));
+		[...this.#ways.values()].filter(way => !addresses.has(way.address) && way.calls.size === 0).map(way => way.link?.close('the node is gone'));
+	}
+
+	/** Watches the links for silence. */
+	watch(): void {
+		const now = this.#definition.clock();
+		[...this.#ways.values()].map(way => way.link?.watch(way.calls.size > 0, now));
 	}
 
 	/** Asks a node for its manifest; undefined when it has none, or does not answer. */
 	async readManifest(from: Member): Promise<PulledManifest | undefined> {
-		const result = await new Promise<ExchangeResult>(resolve => {
-			startExchange(this.#pool(from), {
-				method: 'GET', path: '/manifest', headers: [], body: undefined, maximumBytes: maximumAnswerBytes, timeoutMilliseconds: cancelMilliseconds,
-			}, resolve);
-		});
+		const result = await this.#ask(from, 'GET', '/manifest');
 		if (!result.success || result.status !== 200) {
 			return undefined;
 		}
@@ -81,76 +96,143 @@
 		try {
 			return valibot.parse(pulledSchema, JSON.parse(result.body.toString('utf8')));
 		} catch {
-			this.#log.warn(`${from.name} has no manifest, or one that cannot be read`);
+			this.#definition.log.warn(`${from.name} has no manifest, or one that cannot be read`);
 			return undefined;
 		}
 	}
 
 	async close(): Promise<void> {
-		await Promise.all([...this.#pools.values()].map(async pool => pool.destroy()));
+		[...this.#ways.values()].map(way => this.#end(way, 'the node stops'));
+		await this.#control.destroy();
 	}
 
 	#send({to, frame, clock}: SendEffect): void {
-		startExchange(this.#pool(to), {
-			method: 'POST',
-			path: '/calls',
-			headers: ['content-type', 'application/octet-stream'],
-			body: encodeCall({frame, clock}),
-			maximumBytes: maximumAnswerBytes,
-			timeoutMilliseconds: frame.timeLeftMilliseconds + extraMilliseconds,
-		}, result => {
-			this.#report(frame.callId, result);
+		const way = this.#wayTo(to);
+		if (way.link?.isCongested === true) {
+			this.#fail(frame.callId, SendFailure.NotConnected);
+			return;
+		}
+
+		way.calls.add(frame.callId);
+		this.#write(way, FrameType.Call, encodeCall({frame, clock}));
+	}
+
+	#cancel(to: Member, callId: string): void {
+		const way = this.#ways.get(addressOf(to));
+		if (way !== undefined) {
+			this.#write(way, FrameType.Cancellation, Buffer.from(callId));
+		}
+	}
+
+	#write(way: Way, type: FrameType, content: Buffer): void {
+		if (way.link === undefined) {
+			way.waiting.push({type, content});
+		} else {
+			way.link.send(type, content);
+		}
+	}
+
+	#wayTo(peer: PeerAddress): Way {
+		const address = addressOf(peer);
+		const known = this.#ways.get(address);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const connecting = sendRequest({
+			host: peer.host, port: peer.peersPort, path: '/calls', headers: {connection: 'upgrade', upgrade: linkProtocol}, agent: false,
+		});
+		const way: Way = {
+			address, connecting, link: undefined, waiting: [], calls: new Set(),
+		};
+		this.#ways.set(address, way);
+		const deadline = setTimeout(() => {
+			this.#end(way, 'no connection was made in time');
+		}, connectMilliseconds);
+		connecting.once('upgrade', (_response, socket, head) => {
+			clearTimeout(deadline);
+			this.#open(way, new PeerLink(socket, head, {
+				received: frame => {
+					way.link?.heard(this.#definition.clock());
+					this.#take(way, frame);
+				},
+				closed: reason => {
+					this.#end(way, reason);
+				},
+			}));
 		});
+		connecting.once('response', response => {
+			clearTimeout(deadline);
+			response.resume();
+			this.#end(way, `the node answered ${response.statusCode}`);
+		});
+		connecting.on('error', error => {
+			clearTimeout(deadline);
+			this.#end(way, error.message);
+		});
+		connecting.end();
+		return way;
 	}
 
-	#report(callId: string, result: ExchangeResult): void {
-		if (!result.success || result.status !== 200) {
-			const isNotConnected = !result.success && result.failure === ExchangeFailure.NotConnected;
-			this.#core.post({type: CoreMessageType.CallFailed, callId, failure: isNotConnected ? SendFailure.NotConnected : SendFailure.Lost});
+	#open(way: Way, link: PeerLink): void {
+		way.link = link;
+		link.heard(this.#definition.clock());
+		way.waiting.map(({type, content}) => link.send(type, content));
+		way.waiting = [];
+	}
+
+	/** Frames that still waited for a link never left. */
+	#end(way: Way, reason: string): void {
+		if (this.#ways.get(way.address) !== way) {
 			return;
 		}
 
-		try {
-			const {frame, clock} = decodeAnswer(result.body);
-			this.#core.post({type: CoreMessageType.CallAnswered, frame, clock});
-			if (frame.callId !== callId) {
-				this.#log.warn(`the answer to ${callId} belongs to ${frame.callId}`);
-				this.#core.post({type: CoreMessageType.CallFailed, callId, failure: SendFailure.Lost});
-			}
-		} catch {
-			this.#core.post({type: CoreMessageType.CallFailed, callId, failure: SendFailure.Lost});
+		this.#ways.delete(way.address);
+		way.connecting.destroy();
+		way.link?.close(reason);
+		if (way.calls.size > 0) {
+			this.#definition.log.warn(`the link to ${way.address} ended with ${way.calls.size} calls open: ${reason}`, {event: 'link-lost'});
 		}
+
+		const failure = way.link === undefined ? SendFailure.NotConnected : SendFailure.Lost;
+		[...way.calls].map(callId => this.#fail(callId, failure));
 	}
 
-	#cancel(to: Member, callId: string): void {
-		startExchange(this.#pool(to), {
-			method: 'POST',
-			path: '/cancellations',
-			headers: ['content-type', 'application/json'],
-			body: Buffer.from(JSON.stringify({callId})),
-			maximumBytes: 1024,
-			timeoutMilliseconds: cancelMilliseconds,
-		}, result => {
-			if (!result.success || result.status !== 200) {
-				return;
-			}
+	#take(way: Way, {type, content}: Frame): void {
+		const handlers: Readonly<Partial<Record<FrameType, () => void>>> = {
+			[FrameType.Answer]: () => {
+				this.#takeAnswer(way, content);
+			},
+			[FrameType.CancellationReply]: () => {
+				this.#takeCancellationReply(way, content.toString('utf8'));
+			},
+		};
+		handlers[type]?.();
+	}
 
-			const isNotRun = result.body.toString('utf8').includes(`"${CancelResult.NotRun}"`);
-			this.#core.post({type: CoreMessageType.CancelReplied, callId, result: isNotRun ? CancelResult.NotRun : CancelResult.Dispatched});
-		});
+	#takeAnswer(way: Way, content: Buffer): void {
+		const {frame, clock} = decodeAnswer(content);
+		way.calls.delete(frame.callId);
+		this.#definition.core.post({type: CoreMessageType.CallAnswered, frame, clock});
+	}
+
+	/** The reply to a cancellation is the result and the id, with a space between. */
+	#takeCancellationReply(way: Way, text: string): void {
+		const position = text.indexOf(' ');
+		const callId = text.slice(position + 1);
+		const result = text.slice(0, position) === CancelResult.NotRun ? CancelResult.NotRun : CancelResult.Dispatched;
+		way.calls.delete(callId);
+		this.#definition.core.post({type: CoreMessageType.CancelReplied, callId, result});
+	}
+
+	#fail(callId: CallFrame['callId'], failure: SendFailure): void {
+		this.#definition.core.post({type: CoreMessageType.CallFailed, callId, failure});
 	}
 
 	#exchangeMembers(to: PeerAddress): void {
-		const {membership} = this.#core.core;
+		const {membership} = this.#definition.core.core;
 		const view: ViewRequest = {sender: membership.own, buckets: membership.buckets(), rumors: membership.rumors};
-		startExchange(this.#pool(to), {
-			method: 'POST',
-			path: '/members',
-			headers: ['content-type', 'application/json'],
-			body: Buffer.from(JSON.stringify(view)),
-			maximumBytes: maximumAnswerBytes,
-			timeoutMilliseconds: controlMilliseconds,
-		}, result => {
+		void this.#ask(to, 'POST', '/members', JSON.stringify(view)).then(result => {
 			if (result.success && result.status === 200) {
 				this.#takeView(result.body.toString('utf8'));
 			}
@@ -159,24 +241,24 @@
 
 	#takeView(text: string): void {
 		try {
-			this.#core.post({type: CoreMessageType.ViewArrived, ...parseViewReply(text)});
+			this.#definition.core.post({type: CoreMessageType.ViewArrived, ...parseViewReply(text)});
 		} catch (error) {
-			this.#log.warn(`the view of a peer cannot be read: ${error instanceof Error ? error.message : String(error)}`);
+			this.#definition.log.warn(`the view of a peer cannot be read: ${error instanceof Error ? error.message : String(error)}`);
 		}
 	}
 
-	#pool(peer: PeerAddress): Pool {
-		const address = addressOf(peer);
-		const known = this.#pools.get(address);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const pool = new Pool(`http://${address}`, {
-			connections: connectionsPerPeer, pipelining: 1, connectTimeout: connectMilliseconds, keepAliveTimeout: idleMilliseconds, keepAliveMaxTimeout: idleMilliseconds,
+	async #ask(peer: PeerAddress, method: 'GET' | 'POST', path: string, body?: string): Promise<ExchangeResult> {
+		return new Promise(resolve => {
+			startExchange(this.#control, {
+				origin: `http://${addressOf(peer)}`,
+				method,
+				path,
+				headers: body === undefined ? [] : ['content-type', 'application/json'],
+				body: body === undefined ? undefined : Buffer.from(body),
+				maximumBytes: maximumAnswerBytes,
+				timeoutMilliseconds: controlMilliseconds,
+			}, resolve);
 		});
-		this.#pools.set(address, pool);
-		return pool;
 	}
 }
 
--- a/packages/node/src/peers-server.ts
+++ b/packages/node/src/peers-server.ts
@@ -3,23 +3,24 @@
  *
  * @module
  */
+import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Duplex} from 'node:stream';
 import {
 	ErrorKind, LaburnumspoolError, NodeEffectType, type NodeEffect,
 } from '@laburnumspool/core';
 import {
-	decodeCall, encodeAnswer, parseViewRequest, type ViewReply,
+	decodeCall, encodeAnswer, FrameType, parseViewRequest, type Frame, type ViewReply,
 } from '@laburnumspool/protocol';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
 	readBody, sendClientError, sendProblem, toCallError,
 } from './http-messages.js';
+import {linkProtocol, PeerLink} from './peer-link.js';
 
 const keepAliveMilliseconds = 600_000;
-const headRoomBytes = 256 * 1024;
-const maximumCancellationBytes = 4096;
 const maximumViewBytes = 64 * 1024;
 
 /** The connection is gone, and nobody waits for the reply. */
@@ -43,7 +44,9 @@
 export class PeersServer {
 	readonly #definition: PeersServerDefinition;
 	readonly #server: Server;
-	readonly #open = new Map<string, ServerResponse>();
+	readonly #links = new Set<PeerLink>();
+	/** Link of each call that is not answered yet. */
+	readonly #open = new Map<string, PeerLink>();
 
 	constructor(definition: PeersServerDefinition) {
 		this.#definition = definition;
@@ -55,6 +58,9 @@
 			void this.#handle(request, response);
 		});
 		this.#server.on('clientError', sendClientError);
+		this.#server.on('upgrade', (request, socket, head) => {
+			this.#upgrade(request, socket, head);
+		});
 		definition.core.handle({
 			[NodeEffectType.SendAnswer]: effect => {
 				this.#answer(effect);
@@ -72,17 +78,16 @@
 	close(): void {
 		this.#server.close();
 		this.#server.closeAllConnections();
+		[...this.#links].map(link => link.close('the node stops'));
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		try {
 			const handlers: Readonly<Record<string, () => Promise<void>>> = {
-				'POST /calls': async () => this.#takeCall(request, response),
 				'GET /manifest': async () => {
 					this.#sendManifest(response);
 				},
 				'POST /members': async () => this.#exchangeMembers(request, response),
-				'POST /cancellations': async () => this.#takeCancellation(request, response),
 			};
 			const handler = handlers[`${request.method} ${request.url}`];
 			if (handler === undefined) {
@@ -95,36 +100,69 @@
 		}
 	}
 
-	async #takeCall(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const body = await readBody(request, this.#definition.requestBytes + headRoomBytes);
-		const {frame, clock} = decodeCall(body);
-		const {callId} = frame;
-		if (this.#open.has(callId)) {
-			throw new LaburnumspoolError(ErrorKind.Duplicate, `Call ${callId} is open`);
+	#upgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
+		if (request.headers.upgrade !== linkProtocol || request.url !== '/calls') {
+			socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
+			return;
 		}
 
-		this.#open.set(callId, response);
-		response.once('close', () => {
-			if (this.#open.delete(callId)) {
-				this.#definition.core.post({type: CoreMessageType.CancelArrived, callId, reply: ignoreReply});
-			}
+		socket.write(`HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: ${linkProtocol}\r\n\r\n`);
+		const link: PeerLink = new PeerLink(socket, head, {
+			received: frame => {
+				this.#take(link, frame);
+			},
+			closed: () => {
+				this.#forget(link);
+			},
 		});
-		if (!this.#definition.core.post({type: CoreMessageType.CallArrived, frame, clock})) {
-			this.#open.delete(callId);
-			throw new LaburnumspoolError(ErrorKind.Overloaded, 'The node has too many messages waiting');
-		}
+		this.#links.add(link);
 	}
 
-	#answer({frame, clock}: AnswerEffect): void {
-		const response = this.#open.get(frame.callId);
-		if (response === undefined) {
+	#take(link: PeerLink, {type, content}: Frame): void {
+		const handlers: Readonly<Partial<Record<FrameType, () => void>>> = {
+			[FrameType.Call]: () => {
+				this.#takeCall(link, content);
+			},
+			[FrameType.Cancellation]: () => {
+				this.#takeCancellation(link, content.toString('utf8'));
+			},
+		};
+		handlers[type]?.();
+	}
+
+	#takeCall(link: PeerLink, content: Buffer): void {
+		const {frame, clock} = decodeCall(content);
+		if (this.#open.has(frame.callId)) {
 			return;
 		}
 
+		this.#open.set(frame.callId, link);
+		this.#definition.core.post({type: CoreMessageType.CallArrived, frame, clock});
+	}
+
+	#answer({frame, clock}: AnswerEffect): void {
+		const link = this.#open.get(frame.callId);
 		this.#open.delete(frame.callId);
-		const body = encodeAnswer({frame, clock});
-		response.writeHead(200, {'content-type': 'application/octet-stream', 'content-length': body.length});
-		response.end(body);
+		link?.send(FrameType.Answer, encodeAnswer({frame, clock}));
+	}
+
+	#takeCancellation(link: PeerLink, callId: string): void {
+		this.#definition.core.post({
+			type: CoreMessageType.CancelArrived,
+			callId,
+			reply(result) {
+				link.send(FrameType.CancellationReply, Buffer.from(`${result} ${callId}`));
+			},
+		});
+	}
+
+	/** The other node is gone, and nobody waits for its calls any longer. */
+	#forget(link: PeerLink): void {
+		this.#links.delete(link);
+		[...this.#open].filter(([, owner]) => owner === link).map(([callId]) => {
+			this.#open.delete(callId);
+			return this.#definition.core.post({type: CoreMessageType.CancelArrived, callId, reply: ignoreReply});
+		});
 	}
 
 	async #exchangeMembers(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -142,30 +180,4 @@
 		response.writeHead(200, {'content-type': 'application/json'});
 		response.end(JSON.stringify(manifest === undefined ? {} : {number: manifest.number, document: manifest.document}));
 	}
-
-	async #takeCancellation(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const body = await readBody(request, maximumCancellationBytes);
-		const callId = parseCallIdOf(body.toString('utf8'));
-		this.#definition.core.post({
-			type: CoreMessageType.CancelArrived,
-			callId,
-			reply(result) {
-				response.writeHead(200, {'content-type': 'application/json'});
-				response.end(JSON.stringify({result}));
-			},
-		});
-	}
-}
-
-function parseCallIdOf(text: string): string {
-	try {
-		const body = JSON.parse(text) as {callId?: unknown};
-		if (typeof body.callId === 'string') {
-			return body.callId;
-		}
-	} catch {
-		// Not JSON is as wrong as JSON without the id.
-	}
-
-	throw new LaburnumspoolError(ErrorKind.Malformed, 'callId: expected a text');
 }
--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -8,50 +8,17 @@
 import {
 	ErrorKind, Importance, LaburnumspoolError, Outcome, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
 } from '@laburnumspool/core';
-import * as valibot from 'valibot';
 
 const lengthBytes = 4;
 
-const headersSchema = valibot.array(valibot.string());
-
-const callHeadSchema = valibot.object({
-	callId: valibot.string(),
-	action: valibot.object({actionId: valibot.string(), foreignState: valibot.array(valibot.string())}),
-	requestId: valibot.string(),
-	service: valibot.string(),
-	kind: valibot.string(),
-	semantics: valibot.enum(Semantics),
-	answerBytesLimit: valibot.number(),
-	importance: valibot.enum(Importance),
-	priority: valibot.number(),
-	timeLeftMilliseconds: valibot.pipe(valibot.number(), valibot.minValue(0)),
-	retries: valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0)),
-	key: valibot.optional(valibot.string()),
-	epoch: valibot.number(),
-	lastResort: valibot.boolean(),
-	revision: valibot.number(),
-	request: valibot.object({
-		method: valibot.string(), target: valibot.string(), headers: headersSchema, digest: valibot.string(),
-	}),
-	clock: valibot.number(),
-});
-
-const answerHeadSchema = valibot.object({
-	callId: valibot.string(),
-	outcome: valibot.enum(Outcome),
-	confirmed: valibot.boolean(),
-	answer: valibot.optional(valibot.object({status: valibot.number(), headers: headersSchema, bodyBytes: valibot.number()})),
-	error: valibot.optional(valibot.object({kind: valibot.enum(ErrorKind), detail: valibot.string()})),
-	retriesSpent: valibot.number(),
-	serving: valibot.object({
-		headroom: valibot.number(),
-		level: valibot.number(),
-		leaving: valibot.boolean(),
-		revision: valibot.number(),
-		servedMilliseconds: valibot.number(),
-	}),
-	clock: valibot.number(),
-});
+type CallHead = Omit<CallFrame, 'request'> & {readonly request: Omit<CallFrame['request'], 'body'>; readonly clock: HybridTime};
+type AnswerHead = Omit<AnswerFrame, 'answer'> & {readonly answer?: {readonly status: number; readonly headers: readonly string[]; readonly bodyBytes: number}; readonly clock: HybridTime};
+type Fields = Readonly<Record<string, unknown>>;
+
+const importances: ReadonlySet<unknown> = new Set(Object.values(Importance));
+const semantics: ReadonlySet<unknown> = new Set(Object.values(Semantics));
+const outcomes: ReadonlySet<unknown> = new Set(Object.values(Outcome));
+const errorKinds: ReadonlySet<unknown> = new Set(Object.values(ErrorKind));
 
 /** A call with the sender's clock. */
 export type TimedCall = {readonly frame: CallFrame; readonly clock: HybridTime};
@@ -73,7 +40,12 @@
 /** Decodes a call; throws `malformed`. */
 export function decodeCall(content: Buffer): TimedCall {
 	const {head, body} = split(content);
-	const {clock, request, key, ...rest} = parseHead(callHeadSchema, head);
+	const parsed = parseJson(head);
+	if (!isCallHead(parsed)) {
+		throw new LaburnumspoolError(ErrorKind.Malformed, 'The head of the call lacks a field, or has one of another type');
+	}
+
+	const {clock, request, key, ...rest} = parsed;
 	return {clock, frame: {...rest, key, request: {...request, body}}};
 }
 
@@ -86,7 +58,12 @@
 /** Decodes an answer; throws `malformed` also when the body is shorter or longer than the head says. */
 export function decodeAnswer(content: Buffer): TimedAnswer {
 	const {head, body} = split(content);
-	const {clock, answer, error, ...rest} = parseHead(answerHeadSchema, head);
+	const parsed = parseJson(head);
+	if (!isAnswerHead(parsed)) {
+		throw new LaburnumspoolError(ErrorKind.Malformed, 'The head of the answer lacks a field, or has one of another type');
+	}
+
+	const {clock, answer, error, ...rest} = parsed;
 	if (answer !== undefined && answer.bodyBytes !== body.length) {
 		throw new LaburnumspoolError(ErrorKind.Malformed, `Answer ${rest.callId} has ${body.length} bytes in place of ${answer.bodyBytes}`);
 	}
@@ -114,14 +91,51 @@
 	return {head: content.toString('utf8', lengthBytes, bodyStart), body: content.subarray(bodyStart)};
 }
 
-function parseHead<Schema extends valibot.GenericSchema>(schema: Schema, head: string): valibot.InferOutput<Schema> {
-	const result = valibot.safeParse(schema, parseJson(head));
-	if (!result.success) {
-		const [issue] = result.issues;
-		throw new LaburnumspoolError(ErrorKind.Malformed, `${valibot.getDotPath(issue) ?? 'head'}: ${issue.message}`);
+/** Each call passes here, so the checks are plain tests and no schema. */
+function isCallHead(head: unknown): head is CallHead {
+	if (!isFields(head) || !isFields(head.action) || !isFields(head.request)) {
+		return false;
 	}
 
-	return result.output;
+	const {action, request} = head;
+	return isText(head.callId) && isText(action.actionId) && isTexts(action.foreignState) && isText(head.requestId)
+		&& isText(head.service) && isText(head.kind) && semantics.has(head.semantics) && isNumber(head.answerBytesLimit)
+		&& importances.has(head.importance) && isNumber(head.priority) && isAmount(head.timeLeftMilliseconds) && isAmount(head.retries)
+		&& (head.key === undefined || isText(head.key)) && isNumber(head.epoch) && typeof head.lastResort === 'boolean' && isNumber(head.revision)
+		&& isText(request.method) && isText(request.target) && isTexts(request.headers) && isText(request.digest) && isNumber(head.clock);
+}
+
+function isAnswerHead(head: unknown): head is AnswerHead {
+	if (!isFields(head) || !isFields(head.serving)) {
+		return false;
+	}
+
+	const {serving, answer, error} = head;
+	const isAnswerRight = answer === undefined || (isFields(answer) && isNumber(answer.status) && isTexts(answer.headers) && isNumber(answer.bodyBytes));
+	const isErrorRight = error === undefined || (isFields(error) && errorKinds.has(error.kind) && isText(error.detail));
+	return isAnswerRight && isErrorRight && isText(head.callId) && outcomes.has(head.outcome) && typeof head.confirmed === 'boolean' && isNumber(head.retriesSpent)
+		&& isNumber(serving.headroom) && isNumber(serving.level) && typeof serving.leaving === 'boolean' && isNumber(serving.revision)
+		&& isNumber(serving.servedMilliseconds) && isNumber(head.clock);
+}
+
+function isFields(value: unknown): value is Fields {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function isText(value: unknown): value is string {
+	return typeof value === 'string';
+}
+
+function isNumber(value: unknown): value is number {
+	return typeof value === 'number';
+}
+
+function isAmount(value: unknown): value is number {
+	return typeof value === 'number' && value >= 0;
+}
+
+function isTexts(value: unknown): value is string[] {
+	return Array.isArray(value) && value.every(item => typeof item === 'string');
 }
 
 function parseJson(text: string): unknown {
