--- a/packages/core/src/action/retry-share.ts
+++ b/packages/core/src/action/retry-share.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-const maximumBalance = 10;
+const standardBurst = 10;
 
 /**
  * Earns a share of a retry with each success, and pays a whole one for each retry.
@@ -15,15 +15,19 @@
  * share.spend(); // true while the balance holds
  */
 export class RetryShare {
-	#balance = maximumBalance;
 	readonly #earnedPerSuccess: number;
+	readonly #burst: number;
+	#balance: number;
 
-	constructor(earnedPerSuccess: number) {
+	/** @param burst - retries at hand at the start, and kept at most */
+	constructor(earnedPerSuccess: number, burst = standardBurst) {
 		this.#earnedPerSuccess = earnedPerSuccess;
+		this.#burst = burst;
+		this.#balance = burst;
 	}
 
 	earn(): void {
-		this.#balance = Math.min(maximumBalance, this.#balance + this.#earnedPerSuccess);
+		this.#balance = Math.min(this.#burst, this.#balance + this.#earnedPerSuccess);
 	}
 
 	spend(): boolean {
--- a/packages/core/src/admission/guard.ts
+++ b/packages/core/src/admission/guard.ts
@@ -94,9 +94,10 @@
 		return this.#mechanisms.adaptiveLimit ? this.limit.value : this.limit.slots;
 	}
 
-	/** Refuses calls that arrive from now on; those that wait or run go on. */
-	stopAccepting(): void {
+	/** Refuses calls that arrive from now on and those that wait, which can still go elsewhere; those that run go on. */
+	stopAccepting(): GuardEffect[] {
 		this.#accepting = false;
+		return this.#toRefusals(this.#queue.removeAll(() => true), ErrorKind.Leaving);
 	}
 
 	resumeAccepting(): void {
--- a/packages/core/src/entry/entry-definition.ts
+++ b/packages/core/src/entry/entry-definition.ts
@@ -29,5 +29,7 @@
 	/** Manifest revision in force. */
 	readonly revision: () => number;
 	readonly retryShareEarned: () => number;
+	/** Retries towards one service that are at hand at the start, and kept at most. */
+	readonly retryBurst?: number;
 	readonly mechanisms?: EntryMechanisms;
 };
--- a/packages/core/src/entry/entry.ts
+++ b/packages/core/src/entry/entry.ts
@@ -356,7 +356,7 @@
 			return known;
 		}
 
-		const share = new RetryShare(this.#definition.retryShareEarned());
+		const share = new RetryShare(this.#definition.retryShareEarned(), this.#definition.retryBurst);
 		this.#shares.set(service, share);
 		return share;
 	}
--- a/packages/core/src/manifest/model.ts
+++ b/packages/core/src/manifest/model.ts
@@ -16,6 +16,9 @@
 const maximumAnswerBytes = 64 * 1024 * 1024;
 const standardAnswerBytes = 1024 * 1024;
 const maximumRetries = 16;
+
+/** Retries of one customer action over its whole chain, where the routes bound each call's attempts. */
+const routedRetries = 3;
 const maximumRememberSeconds = 86_400;
 
 const serviceSchema = valibot.strictObject({
@@ -103,7 +106,7 @@
 		success: true,
 		manifest: {
 			name: 'routes',
-			retriesPerAction: 1,
+			retriesPerAction: routedRetries,
 			rememberForSeconds: 600,
 			retryShare: 0.1,
 			services: Object.fromEntries(servicePolicies) as Manifest['services'],
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -13,7 +13,6 @@
 import {EventType} from '../events/event.js';
 import type {HybridClock} from '../events/hybrid-clock.js';
 import type {ManifestAdoption} from '../manifest/adoption.js';
-import type {RequestPolicy} from '../manifest/model.js';
 import {UpstreamState, type Member} from '../membership/member.js';
 import type {Membership} from '../membership/membership.js';
 import type {AnswerFrame, CallerAnswer, CallFrame} from '../messages.js';
@@ -28,6 +27,7 @@
 import type {OnceEffects} from './once-effects.js';
 
 const spanDigits = 16;
+const maximumSeenCalls = 64;
 
 type EntryHandlers = {readonly [Type in EntryEffectType]: (effect: Extract<EntryEffect, {type: Type}>, now: number) => NodeEffect[]};
 type ServingHandlers = {readonly [Type in ServingEffectType]: (effect: Extract<ServingEffect, {type: Type}>, now: number) => NodeEffect[]};
@@ -61,6 +61,8 @@
 	readonly #parts: CallFlowParts;
 	readonly #localCalls = new Set<string>();
 	readonly #nestedParents = new Map<number, string>();
+	/** Calls that the upstream was seen to make, by the kind it made them for. */
+	readonly #seenCalls = new Map<string, Map<string, {readonly service: string; readonly kind: string}>>();
 	readonly #entryHandlers: EntryHandlers = {
 		[EntryEffectType.Send]: ({destination, frame}, now) => this.#sendCall(destination.member, frame, now),
 		[EntryEffectType.CancelAtPeer]: ({member, callId}, now) => this.#cancelCall(member, callId, now),
@@ -93,9 +95,11 @@
 
 	/** Opens a call; the enclosing call is the one on whose behalf the upstream makes it. */
 	open(request: EntryRequest, enclosingCallId: string | undefined, now: number): NodeEffect[] {
-		if (enclosingCallId !== undefined) {
+		const enclosing = this.serving.enclosing(enclosingCallId);
+		if (enclosingCallId !== undefined && enclosing !== undefined) {
 			this.#nestedParents.set(request.entryId, enclosingCallId);
 			this.serving.nestedStarted(enclosingCallId, now);
+			this.#noteCall(enclosing.frame.kind, request);
 		}
 
 		return this.fromEntry(this.entry.open(request, now), now);
@@ -127,7 +131,8 @@
 			locator: createLocator({router: this.#parts.router, directory: this.#parts.directory, memberOf}),
 			loads: this.#parts.router.loads,
 			revision: () => this.#parts.adoption.number,
-			retryShareEarned: () => this.#parts.adoption.current?.manifest.retryShare ?? 0,
+			retryShareEarned: () => this.#parts.node.retries?.share ?? this.#parts.adoption.current?.manifest.retryShare ?? 0,
+			...(this.#parts.node.retries === undefined ? {} : {retryBurst: this.#parts.node.retries.burst}),
 			...(this.#parts.node.entryMechanisms === undefined ? {} : {mechanisms: this.#parts.node.entryMechanisms}),
 		});
 	}
@@ -140,7 +145,7 @@
 			policyOf: (service, kind) => this.#parts.policies.get(`${service}/${kind}`),
 			revision: () => this.#parts.adoption.number,
 			isLeaving: () => this.#parts.membership.own.state !== UpstreamState.Ready,
-			levelBelow: (policy, now) => this.#levelBelow(policy, now),
+			levelBelow: (kind, now) => this.#levelBelow(kind, now),
 		});
 	}
 
@@ -216,7 +221,21 @@
 		});
 	}
 
-	#levelBelow(policy: RequestPolicy, now: number): number {
-		return policy.calls.reduce((level, call) => Math.max(level, this.#parts.router.lowestLevel(call.service, call.kind, now)), 0);
+	/** Calls that the manifest states and calls that the upstream was seen to make for the kind. */
+	#levelBelow(kind: string, now: number): number {
+		const {policies, membership, router} = this.#parts;
+		const stated = policies.get(`${membership.own.service}/${kind}`)?.request.calls ?? [];
+		const seen = this.#seenCalls.get(kind);
+		const level = stated.reduce((highest, call) => Math.max(highest, router.lowestLevel(call.service, call.kind, now)), 0);
+		return seen === undefined ? level : [...seen.values()].reduce((highest, call) => Math.max(highest, router.lowestLevel(call.service, call.kind, now)), level);
+	}
+
+	#noteCall(enclosingKind: string, {service, policy}: EntryRequest): void {
+		const seen = this.#seenCalls.get(enclosingKind) ?? new Map<string, {service: string; kind: string}>();
+		this.#seenCalls.set(enclosingKind, seen);
+		const key = `${service}/${policy.kind}`;
+		if (!seen.has(key) && seen.size < maximumSeenCalls) {
+			seen.set(key, {service, kind: policy.kind});
+		}
 	}
 }
--- a/packages/core/src/node/caller-requests.ts
+++ b/packages/core/src/node/caller-requests.ts
@@ -27,6 +27,8 @@
 	readonly routes: RouteTable | undefined;
 	readonly splits: SplitChooser;
 	readonly enclosing: (callId: string | undefined) => EnclosingCall | undefined;
+	/** The running call that answers the request of this name. */
+	readonly enclosingOfRequest: (requestId: string) => EnclosingCall | undefined;
 	/** Makes a trace id of 32 hexadecimal digits. */
 	readonly newActionId: () => string;
 	/** Makes a key that carries its time. */
@@ -56,7 +58,7 @@
 	}
 
 	const context = parseTraceContext(caller.traceparent, caller.tracestate);
-	const enclosing = surroundings.enclosing(context?.enclosingCall);
+	const enclosing = surroundings.enclosing(context?.enclosingCall) ?? surroundings.enclosingOfRequest(parentName(caller.requestId ?? ''));
 	const action = toAction(context, enclosing, surroundings);
 	const importance = enclosing?.frame.importance ?? policy.importance;
 	const enclosingMilliseconds = enclosing === undefined ? undefined : enclosing.work.deadline - now;
@@ -102,6 +104,11 @@
 		: {service: caller.service, policy};
 }
 
+/** An upstream names its calls after the request that it works on: PARENT.OWN. */
+function parentName(requestId: string): string {
+	return requestId.slice(0, Math.max(0, requestId.lastIndexOf('.')));
+}
+
 function toAction(context: TraceContext | undefined, enclosing: EnclosingCall | undefined, surroundings: RequestSurroundings): EntryRequest['action'] {
 	return {
 		actionId: enclosing?.frame.action.actionId ?? context?.traceId ?? surroundings.newActionId(),
@@ -119,7 +126,8 @@
 }
 
 function keyFor(caller: CallerRequest, policy: RequestPolicy, enclosing: EnclosingCall | undefined, surroundings: RequestSurroundings): Pick<EntryRequest, 'key' | 'keyIsOwn'> {
-	if (policy.semantics === Semantics.Idempotent) {
+	const isKeyless = policy.semantics === Semantics.Idempotent || surroundings.routes !== undefined;
+	if (isKeyless) {
 		return {key: undefined, keyIsOwn: false};
 	}
 
--- a/packages/core/src/node/effects.ts
+++ b/packages/core/src/node/effects.ts
@@ -22,8 +22,6 @@
 	readonly host?: string;
 	/** The caller's own name for the request. */
 	readonly requestId?: string;
-	/** Whether the own upstream makes the call. */
-	readonly isFromUpstream?: boolean;
 	/** Service that the path names; with a manifest of routes it says nothing. */
 	readonly service: string;
 	readonly request: RequestPayload;
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -62,6 +62,10 @@
 	readonly clockErrorMilliseconds: number;
 	readonly guardMechanisms?: GuardMechanisms;
 	readonly entryMechanisms?: EntryMechanisms;
+	/** Share of the announced slots that is used at most. */
+	readonly slotShare?: number;
+	/** Retries towards one service: those at hand at the start, and the share that a success earns in place of the manifest's. */
+	readonly retries?: {readonly burst: number; readonly share?: number | undefined};
 };
 
 const announcedStates: Readonly<Record<AnnouncedState, UpstreamState>> = {
@@ -239,7 +243,7 @@
 		const isRestart = isNewIncarnation || (announcement.state === AnnouncedState.Ready && this.#announcedState !== AnnouncedState.Ready);
 		this.#announcedAt = now;
 		this.#announcedState = announcement.state;
-		this.#guard.limit.setSlots(announcement.slots);
+		this.#guard.limit.setSlots(Math.max(1, Math.floor(announcement.slots * (this.#definition.slotShare ?? 1))));
 		this.#guard.limit.report(announcement.load?.healthy ?? true, (announcement.load?.inFlight ?? 0) - this.#guard.inFlight);
 		if (isRestart) {
 			this.#guard.limit.restart(now);
@@ -351,6 +355,7 @@
 			routes: this.#routes,
 			splits: this.#splits,
 			enclosing: callId => this.#flow.serving.enclosing(callId),
+			enclosingOfRequest: requestId => this.#flow.serving.enclosingOfRequest(requestId),
 			newActionId: this.#definition.newActionId,
 			newKey: this.#definition.newKey,
 		}, now);
@@ -439,14 +444,13 @@
 	}
 
 	#setState(state: UpstreamState, now: number): NodeEffect[] {
-		if (state === UpstreamState.Draining) {
-			this.#guard.stopAccepting();
-		} else {
+		const refused = state === UpstreamState.Draining ? this.#flow.fromServing(this.#flow.serving.stopAccepting(now), now) : [];
+		if (state !== UpstreamState.Draining) {
 			this.#guard.resumeAccepting();
 		}
 
 		this.#once.setLeaving(state === UpstreamState.Draining);
-		return this.#fromMembership(this.#membership.updateOwn({state}, now), now);
+		return [...this.#fromMembership(this.#membership.updateOwn({state}, now), now), ...refused];
 	}
 
 	#silence(now: number): NodeEffect[] {
--- a/packages/core/src/serving/serving.ts
+++ b/packages/core/src/serving/serving.ts
@@ -47,7 +47,7 @@
 	readonly revision: () => number;
 	readonly isLeaving: () => boolean;
 	/** Least priority that the services below admit for what the kind calls. */
-	readonly levelBelow: (policy: RequestPolicy, now: number) => number;
+	readonly levelBelow: (kind: string, now: number) => number;
 };
 
 type GuardHandlers = {readonly [Type in GuardEffectType]: (call: ServedCall, effect: Extract<GuardEffect, {type: Type}>, now: number) => ServingEffect[]};
@@ -66,6 +66,8 @@
 export class Serving {
 	readonly #definition: ServingDefinition;
 	readonly #calls = new Map<string, ServedCall>();
+	/** Ids of the dispatched calls by the caller's own name for their requests. */
+	readonly #callOfRequest = new Map<string, string>();
 	readonly #answered = new SeenCalls(answeredKeepMilliseconds, answeredMaximumEntries);
 
 	readonly #guardHandlers: GuardHandlers = {
@@ -88,6 +90,11 @@
 		return call?.isDispatched === true ? call : undefined;
 	}
 
+	/** The running call that answers the caller's request of this name. */
+	enclosingOfRequest(requestId: string): EnclosingCall | undefined {
+		return this.enclosing(this.#callOfRequest.get(requestId));
+	}
+
 	/** Takes a call. A copy of one that is open is dropped, and a copy of one that was answered never runs. */
 	receive(frame: CallFrame, now: number): ServingEffect[] {
 		if (this.#calls.has(frame.callId)) {
@@ -169,6 +176,11 @@
 		return effects.flatMap(effect => this.#fromOnceEffect(effect, now));
 	}
 
+	/** The upstream leaves: calls that wait are refused, so that their entries can send them elsewhere. */
+	stopAccepting(now: number): ServingEffect[] {
+		return this.#fromGuard(this.#definition.guard.stopAccepting(), now);
+	}
+
 	advance(now: number): ServingEffect[] {
 		this.#answered.advance(now);
 		return this.#fromGuard(this.#definition.guard.advance(now), now);
@@ -243,6 +255,10 @@
 
 	#dispatch(call: ServedCall, now: number): ServingEffect[] {
 		call.isDispatched = true;
+		if (call.frame.requestId !== '') {
+			this.#callOfRequest.set(call.frame.requestId, call.frame.callId);
+		}
+
 		return [
 			{type: ServingEffectType.Admitted, frame: call.frame},
 			{type: ServingEffectType.Dispatch, frame: call.frame, timeLeftMilliseconds: Math.max(0, call.work.deadline - now)},
@@ -335,15 +351,22 @@
 		return {type: ServingEffectType.Refused, frame: call.frame, reason};
 	}
 
+	/** A copy of the request may be running for a later call. */
+	#forgetRequest({frame}: ServedCall): void {
+		if (this.#callOfRequest.get(frame.requestId) === frame.callId) {
+			this.#callOfRequest.delete(frame.requestId);
+		}
+	}
+
 	#answer(call: ServedCall, outcome: Outcome, answer: AnswerPayload | undefined, error: CallError | undefined, confirmed: boolean, now: number): ServingEffect[] {
 		if (this.#calls.get(call.frame.callId) === call) {
 			this.#calls.delete(call.frame.callId);
+			this.#forgetRequest(call);
 		}
 
 		this.#answered.add(call.frame.callId, now);
-		const policy = this.#definition.policyOf(call.frame.service, call.frame.kind);
 		const {headroom, level} = this.#definition.guard.load;
-		const levelBelow = policy === undefined ? 0 : this.#definition.levelBelow(policy.request, now);
+		const levelBelow = this.#definition.levelBelow(call.frame.kind, now);
 		return [{
 			type: ServingEffectType.Answer,
 			frame: {
--- /dev/null
+++ b/packages/core/src/tests/routes.test.ts
@@ -0,0 +1,70 @@
+import {test} from 'tap';
+import {
+	Importance, RouteTable, safeParseManifest, Semantics, SplitChooser, type Manifest,
+} from '../index.js';
+
+const document = {
+	version: 7,
+	routes: {
+		all: {
+			host: 'shop.example', prefix: '/', semantics: 'idempotent', rank: 9, service: 'catalogue',
+		},
+		designs: {
+			host: 'shop.example', prefix: '/designs/', semantics: 'idempotent', waitMilliseconds: 800, objectiveMilliseconds: 1500, rank: 2, attempts: 2, service: 'catalogue', later: true,
+		},
+		orders: {
+			host: 'shop.example', prefix: '/designs/orders/', semantics: 'at-most-once', rank: 0, split: [{service: 'orders', weight: 75}, {service: 'catalogue', weight: 25}],
+		},
+	},
+	services: {catalogue: {healthPath: '/health'}, orders: {}},
+	limits: {idleMilliseconds: 15_000},
+};
+
+function parse(changes: Record<string, unknown> = {}): Manifest {
+	const result = safeParseManifest({...document, ...changes});
+	if (!result.success) {
+		throw new Error(JSON.stringify(result.issues));
+	}
+
+	return result.manifest;
+}
+
+test('a request takes the longest prefix of its host', async t => {
+	const table = new RouteTable(parse().routes ?? []);
+	t.equal(table.find('shop.example', '/designs/orders/4?a=/x/')?.name, 'orders');
+	t.equal(table.find('SHOP.example:8080', '/designs/4')?.name, 'designs');
+	t.equal(table.find('shop.example', '/designs')?.name, 'all');
+	t.equal(table.find('other.example', '/designs/4'), undefined);
+});
+
+test('a route brings its bounds, and its importance by rank', async t => {
+	const [all, designs, orders] = parse().routes ?? [];
+	t.match(designs?.policy, {
+		kind: 'designs', importance: Importance.Normal, semantics: Semantics.Idempotent, waitMilliseconds: 800, objectiveMilliseconds: 1500, attempts: 2,
+	});
+	t.equal(all?.policy.importance, Importance.Low);
+	t.equal(orders?.policy.importance, Importance.Critical);
+});
+
+test('the parts of a split get their shares at any time', async t => {
+	const route = new RouteTable(parse().routes ?? []).find('shop.example', '/designs/orders/1')!;
+	const chooser = new SplitChooser();
+	const chosen = Array.from({length: 40}, () => chooser.choose(route));
+	t.equal(chosen.filter(service => service === 'orders').length, 30);
+	t.equal(chosen.slice(0, 4).filter(service => service === 'orders').length, 3);
+});
+
+test('routes that cannot hold are refused, and unknown fields passed over', async t => {
+	const wrong = [
+		{routes: {a: {...document.routes.all, service: 'nothing'}}},
+		{routes: {a: {...document.routes.all, service: undefined}}},
+		{routes: {a: {...document.routes.all, semantics: 'perhaps'}}},
+		{routes: {a: {...document.routes.all, waitMilliseconds: -1}}},
+		{routes: {a: {...document.routes.all, prefix: '/designs'}}},
+		{routes: {a: {...document.routes.all, split: [{service: 'orders', weight: 0}]}}},
+		{services: undefined},
+	];
+	t.same(wrong.map(changes => safeParseManifest({...document, ...changes}).success), wrong.map(() => false));
+	t.equal(parse().version, 7);
+	t.same(parse().limits, {idleMilliseconds: 15_000});
+});
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -30,8 +30,6 @@
 	readonly openRequests: number;
 	readonly slowSenderMilliseconds: number;
 	readonly headers: HeaderNames;
-	/** Host of the upstream that calls through this node. */
-	readonly upstreamHost: string | undefined;
 	/** Service beside the node. */
 	readonly service: string | undefined;
 	/** Told of each answer, and how long it took. */
@@ -169,7 +167,7 @@
 	}
 
 	#toCallerRequest(entryId: number, request: IncomingMessage, url: string, body: Buffer): CallerRequest {
-		const {core, headers, service, upstreamHost} = this.#definition;
+		const {core, headers, service} = this.#definition;
 		const method = request.method ?? 'GET';
 		const named = core.core.isRouted ? undefined : splitServicePath(url);
 		const key = single(request, HeaderName.Key);
@@ -179,7 +177,6 @@
 			entryId,
 			host: request.headers.host ?? '',
 			requestId: headers.requestId === undefined ? '' : single(request, headers.requestId) ?? '',
-			isFromUpstream: upstreamHost !== undefined && request.socket.remoteAddress === upstreamHost,
 			service: named?.service ?? '',
 			request: {
 				method,
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -8,7 +8,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	EventType, Liveness, NodeEffectType, UpstreamState, type Member, type NodeDefinition, type Revision,
+	allGuardMechanisms, EventType, Liveness, NodeEffectType, UpstreamState, type Member, type NodeDefinition, type Revision,
 } from '@laburnumspool/core';
 import {
 	openHttpStore, parseShipped, toRevision, type Store, type StoreEntry,
@@ -102,7 +102,6 @@
 		log: openPartLog(LogPart.Callers),
 		openRequests: settings.limits.openRequests,
 		headers: settings.headers,
-		upstreamHost: hostOf(settings.upstream?.address),
 		service: settings.upstream?.service,
 		own,
 		observeAnswer: metrics.observeAnswer,
@@ -194,10 +193,6 @@
 	};
 }
 
-function hostOf(address: string | undefined): string | undefined {
-	return address === undefined ? undefined : parseAddress(address).host;
-}
-
 async function listen(server: Server, port: number, host: string): Promise<void> {
 	server.listen(port, host);
 	await once(server, 'listening');
@@ -255,6 +250,9 @@
 		claimBounds: {maximumClaims: settings.limits.claims, maximumAnswerBytes: settings.limits.claimAnswerBytes},
 		withoutStoreMilliseconds: settings.store.workWithoutSeconds * 1000,
 		clockErrorMilliseconds: settings.clockErrorMilliseconds,
+		guardMechanisms: {...allGuardMechanisms, adaptiveLimit: settings.admission.adaptiveLimit},
+		slotShare: settings.admission.slotShare,
+		retries: settings.retries,
 	};
 }
 
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -17,6 +17,7 @@
 	valibot.pipe(valibot.string(), valibot.regex(/^[^:\s]+:\d{1,5}$/u, 'Expected a port or HOST:PORT'), valibot.transform(value => Number(value.slice(value.lastIndexOf(':') + 1))), portNumber),
 ]);
 const positive = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(1));
+const share = valibot.pipe(valibot.number(), valibot.minValue(0), valibot.maxValue(1));
 const text = valibot.pipe(valibot.string(), valibot.minLength(1));
 const address = valibot.pipe(valibot.string(), valibot.regex(/^[^:\s]+:\d{1,5}$/u, 'Expected HOST:PORT'));
 const url = valibot.pipe(valibot.string(), valibot.url('Expected a URL'));
@@ -86,6 +87,17 @@
 		claimAnswerBytes: valibot.optional(positive, 16 * 1024 * 1024),
 		events: valibot.optional(positive, 20_000),
 	}), {}),
+	admission: valibot.optional(valibot.strictObject({
+		/** Whether the limit follows measured latency; else it is the share of the announced slots. */
+		adaptiveLimit: valibot.optional(valibot.boolean(), true),
+		/** Share of the announced slots that is used at most: upstreams slow down when they are nearly full. */
+		slotShare: valibot.optional(share, 1),
+	}), {}),
+	/** Retries towards one service beyond those that its successes earn, and the share of a retry that a success earns. */
+	retries: valibot.optional(valibot.strictObject({
+		burst: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0)), 10),
+		share: valibot.optional(share),
+	}), {}),
 	membership: valibot.optional(valibot.strictObject({
 		probeMilliseconds: valibot.optional(positive, 1000),
 		suspicionMilliseconds: valibot.optional(positive, 3000),
--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -1,6 +1,6 @@
 /**
- * Calls and answers between nodes as HTTP bodies: four bytes with the length of the head, the head as JSON, and the
- * payload's body.
+ * Calls and answers between nodes: four bytes with the length of the head, the head as a JSON array, and the payload's
+ * body. The values of the head stand in a fixed order, since the bytes between failure domains are paid for.
  *
  * @module
  */
@@ -11,15 +11,30 @@
 
 const lengthBytes = 4;
 
-type CallHead = Omit<CallFrame, 'request'> & {readonly request: Omit<CallFrame['request'], 'body'>; readonly clock: HybridTime};
-type AnswerHead = Omit<AnswerFrame, 'answer'> & {readonly answer?: {readonly status: number; readonly headers: readonly string[]; readonly bodyBytes: number}; readonly clock: HybridTime};
-type Fields = Readonly<Record<string, unknown>>;
-
 const importances: ReadonlySet<unknown> = new Set(Object.values(Importance));
 const semantics: ReadonlySet<unknown> = new Set(Object.values(Semantics));
 const outcomes: ReadonlySet<unknown> = new Set(Object.values(Outcome));
 const errorKinds: ReadonlySet<unknown> = new Set(Object.values(ErrorKind));
 
+type Check = (value: unknown) => boolean;
+
+const isOneOf = (values: ReadonlySet<unknown>): Check => value => values.has(value);
+const orNull = (check: Check): Check => value => value === null || check(value);
+
+/** What stands at each place of a call's head. */
+const callChecks: readonly Check[] = [
+	isText, isText, isTexts, isText, isText, isText, isOneOf(semantics), isNumber, isOneOf(importances), isNumber,
+	isAmount, isAmount, orNull(isText), isNumber, isBoolean, isNumber,
+	isText, isText, isTexts, isText, isNumber,
+];
+
+/** What stands at each place of an answer's head. */
+const answerChecks: readonly Check[] = [
+	isText, isOneOf(outcomes), isBoolean, orNull(isNumber), isTexts, isNumber,
+	orNull(isOneOf(errorKinds)), isText, isNumber,
+	isNumber, isNumber, isBoolean, isNumber, isNumber, isNumber,
+];
+
 /** A call with the sender's clock. */
 export type TimedCall = {readonly frame: CallFrame; readonly clock: HybridTime};
 
@@ -33,42 +48,79 @@
  * const body = encodeCall({frame, clock});
  */
 export function encodeCall({frame, clock}: TimedCall): Buffer {
-	const {request: {body, ...request}, ...head} = frame;
-	return join({...head, request, clock}, body);
+	const {action, request} = frame;
+	return join([
+		frame.callId, action.actionId, action.foreignState, frame.requestId, frame.service, frame.kind, frame.semantics, frame.answerBytesLimit, frame.importance, frame.priority,
+		round(frame.timeLeftMilliseconds), frame.retries, frame.key ?? null, frame.epoch, frame.lastResort, frame.revision,
+		request.method, request.target, request.headers, request.digest, clock,
+	], request.body);
 }
 
 /** Decodes a call; throws `malformed`. */
 export function decodeCall(content: Buffer): TimedCall {
 	const {head, body} = split(content);
-	const parsed = parseJson(head);
-	if (!isCallHead(parsed)) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, 'The head of the call lacks a field, or has one of another type');
-	}
-
-	const {clock, request, key, ...rest} = parsed;
-	return {clock, frame: {...rest, key, request: {...request, body}}};
+	const [
+		callId, actionId, foreignState, requestId, service, kind, callSemantics, answerBytesLimit, importance, priority,
+		timeLeftMilliseconds, retries, key, epoch, lastResort, revision, method, target, headers, digest, clock,
+	] = parseHead(head, callChecks);
+	return {
+		clock: clock as HybridTime,
+		frame: {
+			callId,
+			action: {actionId, foreignState},
+			requestId,
+			service,
+			kind,
+			semantics: callSemantics,
+			answerBytesLimit,
+			importance,
+			priority,
+			timeLeftMilliseconds,
+			retries,
+			key: key ?? undefined,
+			epoch,
+			lastResort,
+			revision,
+			request: {
+				method, target, headers, digest, body,
+			},
+		} as CallFrame,
+	};
 }
 
 export function encodeAnswer({frame, clock}: TimedAnswer): Buffer {
-	const {answer, ...head} = frame;
-	const answerHead = answer === undefined ? undefined : {status: answer.status, headers: answer.headers, bodyBytes: answer.body.length};
-	return join({...head, answer: answerHead, clock}, answer?.body ?? new Uint8Array());
+	const {answer, error, serving} = frame;
+	return join([
+		frame.callId, frame.outcome, frame.confirmed, answer === undefined ? null : answer.status, answer?.headers ?? [], answer?.body.length ?? 0,
+		error?.kind ?? null, error?.detail ?? '', frame.retriesSpent,
+		serving.headroom, serving.level, serving.leaving, serving.revision, round(serving.servedMilliseconds), clock,
+	], answer?.body ?? new Uint8Array());
 }
 
 /** Decodes an answer; throws `malformed` also when the body is shorter or longer than the head says. */
 export function decodeAnswer(content: Buffer): TimedAnswer {
 	const {head, body} = split(content);
-	const parsed = parseJson(head);
-	if (!isAnswerHead(parsed)) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, 'The head of the answer lacks a field, or has one of another type');
+	const [
+		callId, outcome, confirmed, status, headers, bodyBytes, errorKind, detail, retriesSpent, headroom, level, leaving, revision, servedMilliseconds, clock,
+	] = parseHead(head, answerChecks);
+	if (bodyBytes !== body.length) {
+		throw new LaburnumspoolError(ErrorKind.Malformed, `Answer ${String(callId)} has ${body.length} bytes in place of ${String(bodyBytes)}`);
 	}
 
-	const {clock, answer, error, ...rest} = parsed;
-	if (answer !== undefined && answer.bodyBytes !== body.length) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, `Answer ${rest.callId} has ${body.length} bytes in place of ${answer.bodyBytes}`);
-	}
-
-	return {clock, frame: {...rest, error, answer: answer === undefined ? undefined : {status: answer.status, headers: answer.headers, body}}};
+	return {
+		clock: clock as HybridTime,
+		frame: {
+			callId,
+			outcome,
+			confirmed,
+			answer: status === null ? undefined : {status, headers, body},
+			error: errorKind === null ? undefined : {kind: errorKind, detail},
+			retriesSpent,
+			serving: {
+				headroom, level, leaving, revision, servedMilliseconds,
+			},
+		} as AnswerFrame,
+	};
 }
 
 function join(head: unknown, body: Uint8Array): Buffer {
@@ -92,40 +144,28 @@
 }
 
 /** Each call passes here, so the checks are plain tests and no schema. */
-function isCallHead(head: unknown): head is CallHead {
-	if (!isFields(head) || !isFields(head.action) || !isFields(head.request)) {
-		return false;
+function parseHead(head: string, checks: readonly Check[]): readonly unknown[] {
+	const values = parseJson(head);
+	if (!Array.isArray(values) || values.length !== checks.length || !checks.every((check, index) => check(values[index]))) {
+		throw new LaburnumspoolError(ErrorKind.Malformed, 'The head of the message lacks a value, or has one of another type');
 	}
 
-	const {action, request} = head;
-	return isText(head.callId) && isText(action.actionId) && isTexts(action.foreignState) && isText(head.requestId)
-		&& isText(head.service) && isText(head.kind) && semantics.has(head.semantics) && isNumber(head.answerBytesLimit)
-		&& importances.has(head.importance) && isNumber(head.priority) && isAmount(head.timeLeftMilliseconds) && isAmount(head.retries)
-		&& (head.key === undefined || isText(head.key)) && isNumber(head.epoch) && typeof head.lastResort === 'boolean' && isNumber(head.revision)
-		&& isText(request.method) && isText(request.target) && isTexts(request.headers) && isText(request.digest) && isNumber(head.clock);
+	return values;
 }
 
-function isAnswerHead(head: unknown): head is AnswerHead {
-	if (!isFields(head) || !isFields(head.serving)) {
-		return false;
-	}
-
-	const {serving, answer, error} = head;
-	const isAnswerRight = answer === undefined || (isFields(answer) && isNumber(answer.status) && isTexts(answer.headers) && isNumber(answer.bodyBytes));
-	const isErrorRight = error === undefined || (isFields(error) && errorKinds.has(error.kind) && isText(error.detail));
-	return isAnswerRight && isErrorRight && isText(head.callId) && outcomes.has(head.outcome) && typeof head.confirmed === 'boolean' && isNumber(head.retriesSpent)
-		&& isNumber(serving.headroom) && isNumber(serving.level) && typeof serving.leaving === 'boolean' && isNumber(serving.revision)
-		&& isNumber(serving.servedMilliseconds) && isNumber(head.clock);
-}
-
-function isFields(value: unknown): value is Fields {
-	return typeof value === 'object' && value !== null && !Array.isArray(value);
+/** Microseconds are as fine as any time is measured. */
+function round(milliseconds: number): number {
+	return Math.round(milliseconds * 1000) / 1000;
 }
 
 function isText(value: unknown): value is string {
 	return typeof value === 'string';
 }
 
+function isBoolean(value: unknown): value is boolean {
+	return typeof value === 'boolean';
+}
+
 function isNumber(value: unknown): value is number {
 	return typeof value === 'number';
 }
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -7,7 +7,7 @@
 import path from 'node:path';
 import process from 'node:process';
 
-const sources = ['packages', 'standins', 'demo', 'benchmarks', 'examples'];
+const sources = ['packages', 'platform', 'standins', 'demo', 'benchmarks', 'examples'];
 
 const walk = folder => readdirSync(folder).filter(name => name !== 'node_modules' && name !== 'src').flatMap(name => {
 	const entry = path.join(folder, name);
