Count refusals by upstreams as retries; send repeated texts once

Change: a refusal by an upstream costs a retry of the edge, the account and the attempts; critical calls are offered to four nodes in place of 24; a node asks its upstream once at its start what it is, and doubts announcements of one that does not serve; repeated texts of a link go by number, the request's name once; pings only into silence.

--- a/packages/core/src/entry/entry.ts
+++ b/packages/core/src/entry/entry.ts
@@ -17,10 +17,14 @@
 } from './entry-call.js';
 import {SendFailure, type EntryDefinition} from './entry-definition.js';
 
-const askBound = 24;
+const keyedAskBound = 24;
+const criticalAskBound = 4;
 const ordinaryAskBound = 2;
 const primaryPauseMilliseconds = 50;
 
+/** Refusals of calls that have reached an upstream, and so count like retries. */
+const reachedKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.UpstreamRefused, ErrorKind.NotServed]);
+
 /** Refusals that say nothing of the key's range but that its primary is changing. */
 const passingKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.StaleRange, ErrorKind.PeerLost, ErrorKind.Leaving, ErrorKind.NotReady]);
 
@@ -268,7 +272,7 @@
 				return this.#askLater(state, error, now);
 			}
 
-			if (outcome === Outcome.NotRun && rule.askElsewhere && this.#mayAskAgain(state)) {
+			if (outcome === Outcome.NotRun && rule.askElsewhere && this.#mayAskAgain(state) && (!reachedKinds.has(error.kind) || this.#maySpendRetry(state))) {
 				return this.#sendOn(state, now);
 			}
 
@@ -284,8 +288,11 @@
 	/** A call proven not run may be offered to other nodes; less important work is offered to few. */
 	#mayAskAgain(state: EntryState): boolean {
 		state.asks += 1;
-		const isBroad = state.request.importance === Importance.Critical || state.request.key !== undefined;
-		return state.asks <= (isBroad ? askBound : ordinaryAskBound);
+		if (state.request.key !== undefined) {
+			return state.asks <= keyedAskBound;
+		}
+
+		return state.asks <= (state.request.importance === Importance.Critical ? criticalAskBound : ordinaryAskBound);
 	}
 
 	/** The primary of the key is changing: asks again once a newer record can have come. */
@@ -296,10 +303,11 @@
 	}
 
 	#mayRetry(state: EntryState): boolean {
-		if (state.request.policy.semantics === Semantics.AtMostOnce) {
-			return false;
-		}
+		return state.request.policy.semantics === Semantics.Idempotent && this.#maySpendRetry(state);
+	}
 
+	/** Whether another upstream may get the call, by the attempts of its kind, the share of the edge and the account of the action. */
+	#maySpendRetry(state: EntryState): boolean {
 		state.attempts += 1;
 		if (state.attempts >= (state.request.policy.attempts ?? Infinity)) {
 			return false;
--- a/packages/core/src/events/event.ts
+++ b/packages/core/src/events/event.ts
@@ -25,6 +25,7 @@
 	MemberLeaving = 'member-leaving',
 	LimitChanged = 'limit-changed',
 	Superseded = 'superseded',
+	UpstreamDoubted = 'upstream-doubted',
 	AnnouncementPassedOver = 'announcement-passed-over',
 }
 
--- a/packages/core/src/manifest/model.ts
+++ b/packages/core/src/manifest/model.ts
@@ -40,7 +40,7 @@
 	/** Revision that the document itself carries. */
 	version: valibot.optional(valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(1))),
 	routes: valibot.record(valibot.string(), routeSchema),
-	services: valibot.record(valibot.string(), valibot.object({})),
+	services: valibot.record(valibot.string(), valibot.object({healthPath: valibot.optional(valibot.string())})),
 	limits: valibot.optional(callerLimitsSchema, {}),
 });
 
@@ -49,6 +49,8 @@
 	/** Routes by host and prefix; without any, the first part of a path names the service. */
 	readonly routes?: readonly Route[];
 	readonly limits?: CallerLimits;
+	/** Path at which the upstreams of a service tell their health. */
+	readonly healthPaths?: Readonly<Record<string, string>>;
 	/** Revision that the document itself carries. */
 	readonly version?: number;
 };
@@ -112,6 +114,7 @@
 			services: Object.fromEntries(servicePolicies) as Manifest['services'],
 			routes: entries.flatMap(({route}) => route ?? []),
 			limits,
+			healthPaths: Object.fromEntries(Object.entries(services).flatMap(([service, {healthPath}]) => healthPath === undefined ? [] : [[service, healthPath]])),
 			...(version === undefined ? {} : {version}),
 		},
 	};
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -43,6 +43,9 @@
 
 const behindHoldMilliseconds = 250;
 const announcementLifeMilliseconds = 5000;
+
+/** Longer than an upstream goes on serving after it said that it leaves, and than its words are late. */
+const doubtMilliseconds = 6000;
 const slowIntervalMilliseconds = 100;
 const manifestPullPauseMilliseconds = 250;
 const spanDigits = 16;
@@ -165,6 +168,11 @@
 		return this.#isLeaving && this.openCalls === 0 && this.#guard.isIdle && this.#once.hasLeft;
 	}
 
+	/** Incarnation of the upstream that announced itself last. */
+	get upstreamInstance(): string | undefined {
+		return this.#upstream.instance;
+	}
+
 	/** Whether requests are found by host and path prefix, and not by the service that their path names. */
 	get isRouted(): boolean {
 		return this.#routes !== undefined;
@@ -236,7 +244,7 @@
 	/** The upstream has announced itself. Announcements that a later word has overtaken are passed over. */
 	announced(announcement: Announcement, now: number): NodeEffect[] {
 		const isNewIncarnation = this.#upstream.isNewIncarnation(announcement);
-		if (!this.#upstream.take(announcement)) {
+		if (!this.#upstream.take(announcement, now)) {
 			return [this.#event({type: EventType.AnnouncementPassedOver, service: announcement.service, detail: `${announcement.instance ?? ''} ${announcement.sequence ?? ''} ${announcement.state}`})];
 		}
 
@@ -255,6 +263,12 @@
 		return [{type: NodeEffectType.UpstreamAnnounced, announcement}, ...this.#fromMembership(changed, now), ...this.#setState(state, now)];
 	}
 
+	/** The upstream, asked at the node's start, does not serve: it may be leaving, which an earlier life of the node has acknowledged. */
+	upstreamDoubted(instance: string, now: number): NodeEffect[] {
+		this.#upstream.doubt(instance, now + doubtMilliseconds);
+		return [this.#event({type: EventType.UpstreamDoubted, service: this.own.service, detail: instance})];
+	}
+
 	/** The upstream has withdrawn: it gets no new work any more. */
 	withdrawn(withdrawal: Withdrawal, now: number): NodeEffect[] {
 		return this.#upstream.withdraw(withdrawal) ? this.#silence(now) : [];
--- a/packages/core/src/serving/serving.ts
+++ b/packages/core/src/serving/serving.ts
@@ -28,7 +28,7 @@
 /** Failures that prove that the upstream did not run the call. */
 const notRunFailures: Readonly<Partial<Record<UpstreamFailure, NotRunFailure>>> = {
 	[UpstreamFailure.NotConnected]: {kind: ErrorKind.UpstreamBroken, detail: 'No connection to the upstream', end: DispatchEnd.Broken},
-	[UpstreamFailure.Refused]: {kind: ErrorKind.Overloaded, detail: 'The upstream refused the call', end: DispatchEnd.Shed},
+	[UpstreamFailure.Refused]: {kind: ErrorKind.UpstreamRefused, detail: 'The upstream refused the call', end: DispatchEnd.Shed},
 	[UpstreamFailure.OtherInstance]: {kind: ErrorKind.NotServed, detail: 'Another incarnation stands at the address', end: DispatchEnd.Broken},
 };
 
--- a/packages/core/src/upstream/upstream-tracker.ts
+++ b/packages/core/src/upstream/upstream-tracker.ts
@@ -22,6 +22,7 @@
  */
 export class UpstreamTracker {
 	#current: Incarnation | undefined;
+	#doubted: {readonly instance: string; readonly until: number} | undefined;
 
 	/** Name of the present incarnation. */
 	get instance(): string | undefined {
@@ -33,9 +34,18 @@
 		return this.#current === undefined || !isSame(this.#current, announcement);
 	}
 
+	/** The incarnation has said itself that it does not serve: until the given time its late words are not believed. */
+	doubt(instance: string, until: number): void {
+		this.#doubted = {instance, until};
+	}
+
 	/** Takes an announcement; false when a later word of the upstream is known already. */
-	take(announcement: Announcement): boolean {
+	take(announcement: Announcement, now = 0): boolean {
 		const {instance, birth, sequence} = announcement;
+		if (this.#doubted !== undefined && this.#doubted.instance === instance && now < this.#doubted.until) {
+			return false;
+		}
+
 		const current = this.#current;
 		if (current === undefined || !isSame(current, announcement)) {
 			if (current !== undefined && isEarlier(birth, current.birth)) {
@@ -77,7 +87,8 @@
 }
 
 function isSame(current: Incarnation, {instance, birth}: Announcement): boolean {
-	return current.instance === instance && current.birth === birth;
+	const isBirthSame = current.birth === birth || current.birth === undefined || birth === undefined;
+	return current.instance === instance && isBirthSame;
 }
 
 function isEarlier(birth: number | undefined, than: number | undefined): boolean {
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -48,7 +48,7 @@
 export class CallersServer {
 	readonly #definition: CallersServerDefinition;
 	readonly #server: Server;
-	readonly #open = new Map<number, {readonly response: ServerResponse; readonly startedAt: number}>();
+	readonly #open = new Map<number, {readonly response: ServerResponse; readonly startedAt: number; readonly requestId: string}>();
 	readonly #dropped: ReadonlySet<string>;
 	#bodyBytes: number;
 	#lastEntryId = 0;
@@ -128,7 +128,7 @@
 		const entryId = this.#lastEntryId;
 		const body = await readBody(request, this.#bodyBytes);
 		const callerRequest = this.#toCallerRequest(entryId, request, url, body);
-		this.#open.set(entryId, {response, startedAt: performance.now()});
+		this.#open.set(entryId, {response, startedAt: performance.now(), requestId: callerRequest.requestId ?? ''});
 		response.once('close', () => {
 			if (this.#open.delete(entryId)) {
 				this.#definition.core.post({type: CoreMessageType.CallerGone, entryId});
@@ -146,7 +146,7 @@
 			return;
 		}
 
-		const {response, startedAt} = open;
+		const {response, startedAt, requestId} = open;
 		this.#open.delete(entryId);
 		this.#definition.observeAnswer(answer.outcome, performance.now() - startedAt);
 
@@ -161,6 +161,11 @@
 
 		const {status, headers, body} = answer.answer;
 		const kept = filterHeaders(headers, answerHeaders);
+		const {requestId: name} = this.#definition.headers;
+		if (name !== undefined && requestId !== '') {
+			kept.push(name, requestId);
+		}
+
 		kept.push(HeaderName.Outcome, answer.outcome, HeaderName.Attempts, String(answer.attempts), 'content-length', String(body.length));
 		response.writeHead(status, kept);
 		response.end(body);
@@ -193,9 +198,9 @@
 	}
 }
 
-/** Headers that the system sets itself, whatever was sent. */
-function droppedHeaders({timeLeft, expectedInstance, callerService}: HeaderNames): ReadonlySet<string> {
-	return new Set([timeLeft, HeaderName.TraceParent, HeaderName.TraceState, ...[expectedInstance, callerService].filter(name => name !== undefined)]);
+/** Headers that the system sets itself; the request's name travels beside the headers. */
+function droppedHeaders({timeLeft, requestId, expectedInstance, callerService}: HeaderNames): ReadonlySet<string> {
+	return new Set([timeLeft, HeaderName.TraceParent, HeaderName.TraceState, ...[requestId, expectedInstance, callerService].filter(name => name !== undefined)]);
 }
 
 function splitServicePath(url: string): {service: string; target: string} | undefined {
--- a/packages/node/src/core-task.ts
+++ b/packages/node/src/core-task.ts
@@ -26,6 +26,7 @@
 	UpstreamFailed = 'upstream-failed',
 	Announced = 'announced',
 	Withdrawn = 'withdrawn',
+	UpstreamDoubted = 'upstream-doubted',
 	GossipArrived = 'gossip-arrived',
 	ViewArrived = 'view-arrived',
 	ManifestArrived = 'manifest-arrived',
@@ -53,6 +54,7 @@
 	[CoreMessageType.UpstreamFailed]: {readonly callId: string; readonly failure: UpstreamFailure};
 	[CoreMessageType.Announced]: {readonly announcement: Announcement};
 	[CoreMessageType.Withdrawn]: {readonly withdrawal: Withdrawal};
+	[CoreMessageType.UpstreamDoubted]: {readonly instance: string};
 	[CoreMessageType.GossipArrived]: {readonly message: GossipMessage; readonly clock: HybridTime};
 	[CoreMessageType.ViewArrived]: {readonly members: readonly Member[]; readonly rumors: readonly Rumor[]};
 	[CoreMessageType.ManifestArrived]: {readonly revision: Revision};
@@ -89,6 +91,7 @@
 	[CoreMessageType.UpstreamFailed]: (core, {callId, failure}, now) => core.upstreamFailed(callId, failure, now),
 	[CoreMessageType.Announced]: (core, {announcement}, now) => core.announced(announcement, now),
 	[CoreMessageType.Withdrawn]: (core, {withdrawal}, now) => core.withdrawn(withdrawal, now),
+	[CoreMessageType.UpstreamDoubted]: (core, {instance}, now) => core.upstreamDoubted(instance, now),
 	[CoreMessageType.GossipArrived]: (core, {message, clock}, now) => core.gossipArrived(message, clock, now),
 	[CoreMessageType.ViewArrived]: (core, {members, rumors}, now) => core.viewArrived(members, rumors, now),
 	[CoreMessageType.ManifestArrived]: (core, {revision}, now) => core.manifestArrived(revision, now),
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -27,6 +27,7 @@
 import type {Settings} from './settings.js';
 import {StoreTask} from './store-task.js';
 import {UpstreamClient} from './upstream-client.js';
+import {probeUpstream} from './upstream-probe.js';
 
 
 /** Time between two looks at the clock while calls are open, which bounds how late a deadline is noticed, and else. */
@@ -108,6 +109,18 @@
 		...bounds,
 	});
 	const callLog = openPartLog(LogPart.Calls);
+	let isProbed = false;
+	const probeOnce = (): void => {
+		const {upstream: known} = settings;
+		const path = known === undefined ? undefined : core.core.manifest?.manifest.healthPaths?.[known.service];
+		if (known !== undefined && path !== undefined && !isProbed) {
+			isProbed = true;
+			void probeUpstream({
+				core, log: openPartLog(LogPart.Upstream), headers: settings.headers, upstream: known,
+			}, path);
+		}
+	};
+
 	const mustStop = new Promise<string>(resolve => {
 		core.handle({
 			[NodeEffectType.Event]({event}) {
@@ -115,6 +128,7 @@
 				logEvent(callLog, event);
 				if (event.type === EventType.ManifestAdopted) {
 					callersServer.setLimits(core.core.manifest?.manifest.limits ?? {});
+					probeOnce();
 				}
 			},
 			[NodeEffectType.Stop]({reason}) {
--- a/packages/node/src/event-log.ts
+++ b/packages/node/src/event-log.ts
@@ -23,6 +23,7 @@
 	[EventType.MemberLeaving]: 'a member leaves',
 	[EventType.LimitChanged]: 'the limit of the upstream changed',
 	[EventType.Superseded]: 'another node took the name or address of this one',
+	[EventType.UpstreamDoubted]: 'the upstream does not serve though it announces itself, and is not used for now',
 	[EventType.AnnouncementPassedOver]: 'an announcement of the upstream was overtaken by a later one',
 };
 
--- a/packages/node/src/peer-link.ts
+++ b/packages/node/src/peer-link.ts
@@ -17,9 +17,9 @@
 /** Bytes that may wait for a slow reader before the link counts as congested. */
 const congestedBytes = 4 * 1024 * 1024;
 
-/** Sign of life that is asked for while something is expected, and the silence after which the link counts as lost. */
-const pingMilliseconds = 400;
-const silenceMilliseconds = 1500;
+/** Silence after which a sign of life is asked for while something is expected, and after which the link counts as lost. */
+const pingMilliseconds = 700;
+const silenceMilliseconds = 1600;
 const nothing = Buffer.alloc(0);
 
 /** What the owner of a link is told. */
@@ -105,7 +105,7 @@
 			return;
 		}
 
-		if (now - this.#pingedAt >= pingMilliseconds) {
+		if (now - Math.max(this.#pingedAt, this.#heardAt) >= pingMilliseconds) {
 			this.#pingedAt = now;
 			this.send(FrameType.Ping);
 		}
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -9,7 +9,7 @@
 	CancelResult, NodeEffectType, SendFailure, type CallFrame, type Member, type NodeEffect,
 } from '@laburnumspool/core';
 import {
-	decodeAnswer, encodeCall, FrameType, parseViewReply, type Frame, type ViewRequest,
+	decodeAnswer, encodeCall, FrameType, parseViewReply, TextReceiver, TextSender, type Frame, type ViewRequest,
 } from '@laburnumspool/protocol';
 import {Agent} from 'undici';
 import * as valibot from 'valibot';
@@ -40,6 +40,8 @@
 	waiting: Array<{readonly type: FrameType; readonly content: Buffer}>;
 	/** Calls without an answer. */
 	readonly calls: Set<string>;
+	readonly sender: TextSender;
+	readonly receiver: TextReceiver;
 };
 
 export type PeersClientDefinition = {
@@ -114,7 +116,7 @@
 		}
 
 		way.calls.add(frame.callId);
-		this.#write(way, FrameType.Call, encodeCall({frame, clock}));
+		this.#write(way, FrameType.Call, encodeCall({frame, clock}, way.sender));
 	}
 
 	#cancel(to: Member, callId: string): void {
@@ -143,7 +145,7 @@
 			host: peer.host, port: peer.peersPort, path: '/calls', headers: {connection: 'upgrade', upgrade: linkProtocol}, agent: false,
 		});
 		const way: Way = {
-			address, connecting, link: undefined, waiting: [], calls: new Set(),
+			address, connecting, link: undefined, waiting: [], calls: new Set(), sender: new TextSender(), receiver: new TextReceiver(),
 		};
 		this.#ways.set(address, way);
 		const deadline = setTimeout(() => {
@@ -211,7 +213,7 @@
 	}
 
 	#takeAnswer(way: Way, content: Buffer): void {
-		const {frame, clock} = decodeAnswer(content);
+		const {frame, clock} = decodeAnswer(content, way.receiver);
 		way.calls.delete(frame.callId);
 		this.#definition.core.post({type: CoreMessageType.CallAnswered, frame, clock});
 	}
--- a/packages/node/src/peers-server.ts
+++ b/packages/node/src/peers-server.ts
@@ -12,7 +12,7 @@
 	ErrorKind, LaburnumspoolError, NodeEffectType, type NodeEffect,
 } from '@laburnumspool/core';
 import {
-	decodeCall, encodeAnswer, FrameType, parseViewRequest, type Frame, type ViewReply,
+	decodeCall, encodeAnswer, FrameType, parseViewRequest, TextReceiver, TextSender, type Frame, type ViewReply,
 } from '@laburnumspool/protocol';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
@@ -44,7 +44,8 @@
 export class PeersServer {
 	readonly #definition: PeersServerDefinition;
 	readonly #server: Server;
-	readonly #links = new Set<PeerLink>();
+	/** Links, each with the texts that repeat on it. */
+	readonly #links = new Map<PeerLink, {readonly sender: TextSender; readonly receiver: TextReceiver}>();
 	/** Link of each call that is not answered yet. */
 	readonly #open = new Map<string, PeerLink>();
 
@@ -78,7 +79,7 @@
 	close(): void {
 		this.#server.close();
 		this.#server.closeAllConnections();
-		[...this.#links].map(link => link.close('the node stops'));
+		[...this.#links.keys()].map(link => link.close('the node stops'));
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -107,21 +108,22 @@
 		}
 
 		socket.write(`HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: ${linkProtocol}\r\n\r\n`);
+		const texts = {sender: new TextSender(), receiver: new TextReceiver()};
 		const link: PeerLink = new PeerLink(socket, head, {
 			received: frame => {
-				this.#take(link, frame);
+				this.#take(link, texts.receiver, frame);
 			},
 			closed: () => {
 				this.#forget(link);
 			},
 		});
-		this.#links.add(link);
+		this.#links.set(link, texts);
 	}
 
-	#take(link: PeerLink, {type, content}: Frame): void {
+	#take(link: PeerLink, texts: TextReceiver, {type, content}: Frame): void {
 		const handlers: Readonly<Partial<Record<FrameType, () => void>>> = {
 			[FrameType.Call]: () => {
-				this.#takeCall(link, content);
+				this.#takeCall(link, texts, content);
 			},
 			[FrameType.Cancellation]: () => {
 				this.#takeCancellation(link, content.toString('utf8'));
@@ -130,8 +132,8 @@
 		handlers[type]?.();
 	}
 
-	#takeCall(link: PeerLink, content: Buffer): void {
-		const {frame, clock} = decodeCall(content);
+	#takeCall(link: PeerLink, texts: TextReceiver, content: Buffer): void {
+		const {frame, clock} = decodeCall(content, texts);
 		if (this.#open.has(frame.callId)) {
 			return;
 		}
@@ -142,8 +144,11 @@
 
 	#answer({frame, clock}: AnswerEffect): void {
 		const link = this.#open.get(frame.callId);
+		const texts = link === undefined ? undefined : this.#links.get(link);
 		this.#open.delete(frame.callId);
-		link?.send(FrameType.Answer, encodeAnswer({frame, clock}));
+		if (texts !== undefined) {
+			link?.send(FrameType.Answer, encodeAnswer({frame, clock}, texts.sender));
+		}
 	}
 
 	#takeCancellation(link: PeerLink, callId: string): void {
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -33,6 +33,10 @@
 	expectedInstance: valibot.optional(headerName),
 	/** Service beside the node at which the request began. */
 	callerService: valibot.optional(headerName),
+	/** Incarnation that an upstream names in its health answer. */
+	instance: valibot.optional(headerName),
+	/** Running and waiting calls and slots of the upstream, in its answers. */
+	load: valibot.optional(headerName),
 	/** Mark of an answer whose request was not run. */
 	notExecuted: valibot.optional(headerName),
 	/** Mark without which a success is not the upstream's own. */
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -11,7 +11,7 @@
 import {
 	ExchangeFailure, startExchange, type Exchange, type ExchangeResult,
 } from './http-client.js';
-import {findHeader, HeaderName} from './http-messages.js';
+import {filterHeaders, findHeader, HeaderName} from './http-messages.js';
 import type {PartLog} from './logs.js';
 import type {HeaderNames} from './settings.js';
 
@@ -39,6 +39,8 @@
 	readonly #core: CoreTask;
 	readonly #log: PartLog;
 	readonly #headers: HeaderNames;
+	/** Headers of answers that are for the node, or that the caller's node sets. */
+	readonly #ownHeaders: ReadonlySet<string>;
 	readonly #open = new Map<string, Exchange>();
 	#pool: Pool | undefined;
 	#poolKey = '';
@@ -47,6 +49,7 @@
 	constructor(core: CoreTask, headers: HeaderNames, log: PartLog) {
 		this.#core = core;
 		this.#headers = headers;
+		this.#ownHeaders = new Set([headers.requestId, headers.load].filter(name => name !== undefined));
 		this.#log = log;
 		core.handle({
 			[NodeEffectType.UpstreamAnnounced]: ({announcement}) => {
@@ -87,8 +90,8 @@
 			return;
 		}
 
-		const {request, traceparent, tracestate, timeLeftMilliseconds, answerBytesLimit} = effect;
-		const {timeLeft, expectedInstance} = this.#headers;
+		const {request, requestId, traceparent, tracestate, timeLeftMilliseconds, answerBytesLimit} = effect;
+		const {timeLeft, requestId: requestIdName, expectedInstance} = this.#headers;
 		const headers = [
 			...request.headers,
 			HeaderName.TraceParent,
@@ -97,6 +100,7 @@
 			tracestate,
 			timeLeft,
 			String(Math.floor(timeLeftMilliseconds)),
+			...(requestIdName === undefined || requestId === '' ? [] : [requestIdName, requestId]),
 			...(expectedInstance === undefined || this.#instance === undefined ? [] : [expectedInstance, this.#instance]),
 		];
 		const exchange = startExchange(this.#pool, {
@@ -120,16 +124,16 @@
 			return;
 		}
 
-		const {status, headers, body} = result;
-		const answer = {status, headers, body};
-		const failure = this.#failureOf(effect, answer);
+		const {status, body} = result;
+		const failure = this.#failureOf(effect, result);
+		const answer = {status, headers: filterHeaders(result.headers, this.#ownHeaders), body};
 		this.#core.post(failure === undefined
 			? {type: CoreMessageType.UpstreamAnswered, callId, answer}
 			: {type: CoreMessageType.UpstreamFailed, callId, failure});
 	}
 
 	/** What an answer says beside its body: that the request was not run, or that the answer is not its own. */
-	#failureOf({callId, requestId}: DispatchEffect, {status, headers}: AnswerPayload): UpstreamFailure | undefined {
+	#failureOf({callId, requestId}: DispatchEffect, {status, headers}: Pick<AnswerPayload, 'status' | 'headers'>): UpstreamFailure | undefined {
 		const {notExecuted, requestId: requestIdName, signature} = this.#headers;
 		if (status === misdirectedStatus && this.#headers.expectedInstance !== undefined) {
 			return UpstreamFailure.OtherInstance;
--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -6,8 +6,9 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	ErrorKind, Importance, LaburnumspoolError, Outcome, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
+	ErrorKind, Importance, LaburnumspoolError, Outcome, parseCallId, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
 } from '@laburnumspool/core';
+import type {TextReceiver, TextSender, WireText} from './text-table.js';
 
 const lengthBytes = 4;
 
@@ -23,14 +24,14 @@
 
 /** What stands at each place of a call's head. */
 const callChecks: readonly Check[] = [
-	isText, isText, isTexts, isText, isText, isText, isOneOf(semantics), isNumber, isOneOf(importances), isNumber,
+	isAny, isAny, isText, isTexts, isText, isAny, isAny, isOneOf(semantics), isNumber, isOneOf(importances), isNumber,
 	isAmount, isAmount, orNull(isText), isNumber, isBoolean, isNumber,
-	isText, isText, isTexts, isText, isNumber,
+	isText, isText, isList, isText, isNumber,
 ];
 
 /** What stands at each place of an answer's head. */
 const answerChecks: readonly Check[] = [
-	isText, isOneOf(outcomes), isBoolean, orNull(isNumber), isTexts, isNumber,
+	isAny, isAny, isOneOf(outcomes), isBoolean, orNull(isNumber), isList, isNumber,
 	orNull(isOneOf(errorKinds)), isText, isNumber,
 	isNumber, isNumber, isBoolean, isNumber, isNumber, isNumber,
 ];
@@ -45,32 +46,32 @@
  * Encodes a call.
  *
  * @example
- * const body = encodeCall({frame, clock});
+ * const content = encodeCall({frame, clock}, new TextSender());
  */
-export function encodeCall({frame, clock}: TimedCall): Buffer {
+export function encodeCall({frame, clock}: TimedCall, texts: TextSender): Buffer {
 	const {action, request} = frame;
 	return join([
-		frame.callId, action.actionId, action.foreignState, frame.requestId, frame.service, frame.kind, frame.semantics, frame.answerBytesLimit, frame.importance, frame.priority,
+		...encodeCallId(frame.callId, texts), action.actionId, action.foreignState, frame.requestId, texts.encode(frame.service), texts.encode(frame.kind), frame.semantics, frame.answerBytesLimit, frame.importance, frame.priority,
 		round(frame.timeLeftMilliseconds), frame.retries, frame.key ?? null, frame.epoch, frame.lastResort, frame.revision,
-		request.method, request.target, request.headers, request.digest, clock,
+		request.method, request.target, request.headers.map(text => texts.encode(text)), request.digest, clock,
 	], request.body);
 }
 
 /** Decodes a call; throws `malformed`. */
-export function decodeCall(content: Buffer): TimedCall {
+export function decodeCall(content: Buffer, texts: TextReceiver): TimedCall {
 	const {head, body} = split(content);
 	const [
-		callId, actionId, foreignState, requestId, service, kind, callSemantics, answerBytesLimit, importance, priority,
+		sender, sequence, actionId, foreignState, requestId, service, kind, callSemantics, answerBytesLimit, importance, priority,
 		timeLeftMilliseconds, retries, key, epoch, lastResort, revision, method, target, headers, digest, clock,
 	] = parseHead(head, callChecks);
 	return {
 		clock: clock as HybridTime,
 		frame: {
-			callId,
+			callId: decodeCallId(sender, sequence, texts),
 			action: {actionId, foreignState},
 			requestId,
-			service,
-			kind,
+			service: texts.decode(service),
+			kind: texts.decode(kind),
 			semantics: callSemantics,
 			answerBytesLimit,
 			importance,
@@ -82,29 +83,31 @@
 			lastResort,
 			revision,
 			request: {
-				method, target, headers, digest, body,
+				method, target, headers: decodeTexts(headers, texts), digest, body,
 			},
 		} as CallFrame,
 	};
 }
 
-export function encodeAnswer({frame, clock}: TimedAnswer): Buffer {
+export function encodeAnswer({frame, clock}: TimedAnswer, texts: TextSender): Buffer {
 	const {answer, error, serving} = frame;
 	return join([
-		frame.callId, frame.outcome, frame.confirmed, answer === undefined ? null : answer.status, answer?.headers ?? [], answer?.body.length ?? 0,
+		...encodeCallId(frame.callId, texts), frame.outcome, frame.confirmed, answer === undefined ? null : answer.status, (answer?.headers ?? []).map(text => texts.encode(text)), answer?.body.length ?? 0,
 		error?.kind ?? null, error?.detail ?? '', frame.retriesSpent,
 		serving.headroom, serving.level, serving.leaving, serving.revision, round(serving.servedMilliseconds), clock,
 	], answer?.body ?? new Uint8Array());
 }
 
 /** Decodes an answer; throws `malformed` also when the body is shorter or longer than the head says. */
-export function decodeAnswer(content: Buffer): TimedAnswer {
+export function decodeAnswer(content: Buffer, texts: TextReceiver): TimedAnswer {
 	const {head, body} = split(content);
 	const [
-		callId, outcome, confirmed, status, headers, bodyBytes, errorKind, detail, retriesSpent, headroom, level, leaving, revision, servedMilliseconds, clock,
+		sender, sequence, outcome, confirmed, status, headers, bodyBytes, errorKind, detail, retriesSpent, headroom, level, leaving, revision, servedMilliseconds, clock,
 	] = parseHead(head, answerChecks);
+	const callId = decodeCallId(sender, sequence, texts);
+	const answerHeaders = decodeTexts(headers, texts);
 	if (bodyBytes !== body.length) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, `Answer ${String(callId)} has ${body.length} bytes in place of ${String(bodyBytes)}`);
+		throw new LaburnumspoolError(ErrorKind.Malformed, `Answer ${callId} has ${body.length} bytes in place of ${String(bodyBytes)}`);
 	}
 
 	return {
@@ -113,7 +116,7 @@
 			callId,
 			outcome,
 			confirmed,
-			answer: status === null ? undefined : {status, headers, body},
+			answer: status === null ? undefined : {status, headers: answerHeaders, body},
 			error: errorKind === null ? undefined : {kind: errorKind, detail},
 			retriesSpent,
 			serving: {
@@ -158,6 +161,30 @@
 	return Math.round(milliseconds * 1000) / 1000;
 }
 
+/** The sender's part of an id repeats, and its number does not. */
+function encodeCallId(callId: string, texts: TextSender): [WireText, number | null] {
+	const {sender, sequence} = parseCallId(callId);
+	return Number.isFinite(sequence) && callId === `${sender}.${sequence}` ? [texts.encode(sender), sequence] : [texts.encode(callId), null];
+}
+
+function decodeCallId(sender: unknown, sequence: unknown, texts: TextReceiver): string {
+	const text = texts.decode(sender);
+	return isNumber(sequence) ? `${text}.${sequence}` : text;
+}
+
+function decodeTexts(values: unknown, texts: TextReceiver): string[] {
+	return (values as readonly unknown[]).map(value => texts.decode(value));
+}
+
+/** Judged where it is decoded. */
+function isAny(): boolean {
+	return true;
+}
+
+function isList(value: unknown): boolean {
+	return Array.isArray(value);
+}
+
 function isText(value: unknown): value is string {
 	return typeof value === 'string';
 }
