Read the first bytes of a link after it stands

Cause: bytes that came with the upgrade were read inside the link's constructor; what is no frame closed the link before its owner had it, which ended the process (found by the new test of junk on a link).

Change: the bytes go back to the stream and are read in turn. The test fails before and passes after.

--- a/packages/node/src/peer-link.ts
+++ b/packages/node/src/peer-link.ts
@@ -48,6 +48,10 @@
 	constructor(socket: Duplex, head: Buffer, handlers: PeerLinkHandlers) {
 		this.#socket = socket;
 		this.#handlers = handlers;
+		if (head.length > 0) {
+			socket.unshift(head);
+		}
+
 		socket.on('data', (chunk: Buffer) => {
 			this.#take(chunk);
 		});
@@ -57,9 +61,6 @@
 		socket.once('close', () => {
 			this.close('the connection was closed');
 		});
-		if (head.length > 0) {
-			this.#take(head);
-		}
 	}
 
 	get isClosed(): boolean {
