--- a/packages/core/src/manifest/routes.ts
+++ b/packages/core/src/manifest/routes.ts
@@ -104,7 +104,7 @@
  *
  * @example
  * const table = new RouteTable(routes);
- * table.find('shop.example:8080', '/designs/12?size=2');
+ * table.routeOf('shop.example:8080', '/designs/12?size=2');
  */
 export class RouteTable {
 	readonly #byHost = new Map<string, Route[]>();
@@ -114,7 +114,7 @@
 		longestFirst.map(route => this.#byHost.set(route.host, [...(this.#byHost.get(route.host) ?? []), route]));
 	}
 
-	find(host: string, target: string): Route | undefined {
+	routeOf(host: string, target: string): Route | undefined {
 		const queryStart = target.indexOf('?');
 		const path = queryStart === -1 ? target : target.slice(0, queryStart);
 		return this.#byHost.get(withoutPort(host))?.find(route => path.startsWith(route.prefix));
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -86,7 +86,6 @@
 		[ServingEffectType.Refused]: ({frame, reason}) => [this.#callEvent(EventType.Refused, frame, reason)],
 	};
 
-
 	constructor(parts: CallFlowParts) {
 		this.#parts = parts;
 		this.entry = this.#createEntry();
--- a/packages/core/src/node/caller-requests.ts
+++ b/packages/core/src/node/caller-requests.ts
@@ -87,7 +87,7 @@
 function findPolicy(caller: CallerRequest, {manifest, routes, splits}: RequestSurroundings): FoundPolicy | CallError {
 	const {method, target} = caller.request;
 	if (routes !== undefined) {
-		const route = routes.find(caller.host ?? '', target);
+		const route = routes.routeOf(caller.host ?? '', target);
 		return route === undefined
 			? {kind: ErrorKind.UnknownRequestKind, detail: `No route of ${caller.host ?? ''} begins ${target.split('?')[0]}`}
 			: {service: splits.choose(route), policy: route.policy};
--- a/packages/core/src/tests/routes.test.ts
+++ b/packages/core/src/tests/routes.test.ts
@@ -31,10 +31,10 @@
 
 test('a request takes the longest prefix of its host', async t => {
 	const table = new RouteTable(parse().routes ?? []);
-	t.equal(table.find('shop.example', '/designs/orders/4?a=/x/')?.name, 'orders');
-	t.equal(table.find('SHOP.example:8080', '/designs/4')?.name, 'designs');
-	t.equal(table.find('shop.example', '/designs')?.name, 'all');
-	t.equal(table.find('other.example', '/designs/4'), undefined);
+	t.equal(table.routeOf('shop.example', '/designs/orders/4?a=/x/')?.name, 'orders');
+	t.equal(table.routeOf('SHOP.example:8080', '/designs/4')?.name, 'designs');
+	t.equal(table.routeOf('shop.example', '/designs')?.name, 'all');
+	t.equal(table.routeOf('other.example', '/designs/4'), undefined);
 });
 
 test('a route brings its bounds, and its importance by rank', async t => {
@@ -47,7 +47,7 @@
 });
 
 test('the parts of a split get their shares at any time', async t => {
-	const route = new RouteTable(parse().routes ?? []).find('shop.example', '/designs/orders/1')!;
+	const route = new RouteTable(parse().routes ?? []).routeOf('shop.example', '/designs/orders/1')!;
 	const chooser = new SplitChooser();
 	const chosen = Array.from({length: 40}, () => chooser.choose(route));
 	t.equal(chosen.filter(service => service === 'orders').length, 30);
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -29,7 +29,6 @@
 import {UpstreamClient} from './upstream-client.js';
 import {probeUpstream} from './upstream-probe.js';
 
-
 /** Time between two looks at the clock while calls are open, which bounds how late a deadline is noticed, and else. */
 const busyTickMilliseconds = 15;
 const idleTickMilliseconds = 100;
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -40,18 +40,17 @@
 	const registers = [registry];
 	registry.setDefaultLabels({node});
 	const counts = new Map<string, {readonly labels: EventLabels; count: number}>();
-	const events = new Counter({
+	registry.registerMetric(new Counter({
 		name: `${prefix}events_total`,
 		help: 'Events of the node by type, service, kind and reason',
 		labelNames: ['type', 'service', 'kind', 'reason'],
-		registers,
+		registers: [],
 		// The library's own counting has a price for each event; it gets the counts when they are read.
 		collect() {
 			this.reset();
 			[...counts.values()].map(({labels, count}) => this.inc(labels, count));
 		},
-	});
-	void events;
+	}));
 	const gauges = new Gauge({
 		name: `${prefix}state`, help: 'State of the node by name', labelNames: ['name'], registers,
 	});
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -59,7 +59,9 @@
 export class PeersClient {
 	readonly #definition: PeersClientDefinition;
 	readonly #ways = new Map<string, Way>();
-	readonly #control = new Agent({connections: 1, pipelining: 1, connectTimeout: connectMilliseconds, keepAliveTimeout: idleMilliseconds});
+	readonly #control = new Agent({
+		connections: 1, pipelining: 1, connectTimeout: connectMilliseconds, keepAliveTimeout: idleMilliseconds,
+	});
 
 	constructor(definition: PeersClientDefinition) {
 		this.#definition = definition;
@@ -222,7 +224,7 @@
 	#takeCancellationReply(way: Way, text: string): void {
 		const position = text.indexOf(' ');
 		const callId = text.slice(position + 1);
-		const result = text.slice(0, position) === CancelResult.NotRun ? CancelResult.NotRun : CancelResult.Dispatched;
+		const result = text.startsWith(`${CancelResult.NotRun} `) ? CancelResult.NotRun : CancelResult.Dispatched;
 		way.calls.delete(callId);
 		this.#definition.core.post({type: CoreMessageType.CancelReplied, callId, result});
 	}
--- a/packages/node/src/run.ts
+++ b/packages/node/src/run.ts
@@ -57,13 +57,18 @@
 	const signal = await Promise.race([whenStopped(), superseded]);
 	void whenReady;
 	if (signal === undefined) {
-		process.exit(ExitCode.Failed);
+		endWith(ExitCode.Failed);
 	}
 
 	log.info(`leaves after ${signal}`);
 	const isFinished = await daemon.stop();
 	log.info(isFinished ? 'has left with nothing in flight' : 'has left with calls in flight: the bound on the stop was reached');
-	process.exit(isFinished ? ExitCode.Done : ExitCode.Failed);
+	endWith(isFinished ? ExitCode.Done : ExitCode.Failed);
+}
+
+/** Sockets that others keep open must not keep the process. */
+function endWith(code: ExitCode): never {
+	process.exit(code); // eslint-disable-line unicorn/no-process-exit
 }
 
 async function whenStopped(): Promise<string> {
--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -17,6 +17,21 @@
 const outcomes: ReadonlySet<unknown> = new Set(Object.values(Outcome));
 const errorKinds: ReadonlySet<unknown> = new Set(Object.values(ErrorKind));
 
+/** Values of a call's head in their order; those of unknown type are decoded by the link's texts. */
+type CallHead = readonly [
+	sender: unknown, sequence: unknown, actionId: string, foreignState: readonly string[], requestId: string, service: unknown, kind: unknown,
+	semantics: Semantics, answerBytesLimit: number, importance: Importance, priority: number,
+	timeLeftMilliseconds: number, retries: number, key: string | null, epoch: number, lastResort: boolean, revision: number,
+	method: string, target: string, headers: readonly unknown[], digest: string, clock: HybridTime,
+];
+
+/** Values of an answer's head in their order. */
+type AnswerHead = readonly [
+	sender: unknown, sequence: unknown, outcome: Outcome, confirmed: boolean, status: number | null, headers: readonly unknown[], bodyBytes: number,
+	errorKind: ErrorKind | null, detail: string, retriesSpent: number,
+	headroom: number, level: number, leaving: boolean, revision: number, servedMilliseconds: number, clock: HybridTime,
+];
+
 type Check = (value: unknown) => boolean;
 
 const isOneOf = (values: ReadonlySet<unknown>): Check => value => values.has(value);
@@ -24,16 +39,48 @@
 
 /** What stands at each place of a call's head. */
 const callChecks: readonly Check[] = [
-	isAny, isAny, isText, isTexts, isText, isAny, isAny, isOneOf(semantics), isNumber, isOneOf(importances), isNumber,
-	isAmount, isAmount, orNull(isText), isNumber, isBoolean, isNumber,
-	isText, isText, isList, isText, isNumber,
+	isAny,
+	isAny,
+	isText,
+	isTexts,
+	isText,
+	isAny,
+	isAny,
+	isOneOf(semantics),
+	isNumber,
+	isOneOf(importances),
+	isNumber,
+	isAmount,
+	isAmount,
+	orNull(isText),
+	isNumber,
+	isBoolean,
+	isNumber,
+	isText,
+	isText,
+	isList,
+	isText,
+	isNumber,
 ];
 
 /** What stands at each place of an answer's head. */
 const answerChecks: readonly Check[] = [
-	isAny, isAny, isOneOf(outcomes), isBoolean, orNull(isNumber), isList, isNumber,
-	orNull(isOneOf(errorKinds)), isText, isNumber,
-	isNumber, isNumber, isBoolean, isNumber, isNumber, isNumber,
+	isAny,
+	isAny,
+	isOneOf(outcomes),
+	isBoolean,
+	orNull(isNumber),
+	isList,
+	isNumber,
+	orNull(isOneOf(errorKinds)),
+	isText,
+	isNumber,
+	isNumber,
+	isNumber,
+	isBoolean,
+	isNumber,
+	isNumber,
+	isNumber,
 ];
 
 /** A call with the sender's clock. */
@@ -51,9 +98,27 @@
 export function encodeCall({frame, clock}: TimedCall, texts: TextSender): Buffer {
 	const {action, request} = frame;
 	return join([
-		...encodeCallId(frame.callId, texts), action.actionId, action.foreignState, frame.requestId, texts.encode(frame.service), texts.encode(frame.kind), frame.semantics, frame.answerBytesLimit, frame.importance, frame.priority,
-		round(frame.timeLeftMilliseconds), frame.retries, frame.key ?? null, frame.epoch, frame.lastResort, frame.revision,
-		request.method, request.target, request.headers.map(text => texts.encode(text)), request.digest, clock,
+		...encodeCallId(frame.callId, texts),
+		action.actionId,
+		action.foreignState,
+		frame.requestId,
+		texts.encode(frame.service),
+		texts.encode(frame.kind),
+		frame.semantics,
+		frame.answerBytesLimit,
+		frame.importance,
+		frame.priority,
+		round(frame.timeLeftMilliseconds),
+		frame.retries,
+		frame.key ?? null,
+		frame.epoch,
+		frame.lastResort,
+		frame.revision,
+		request.method,
+		request.target,
+		request.headers.map(text => texts.encode(text)),
+		request.digest,
+		clock,
 	], request.body);
 }
 
@@ -61,40 +126,70 @@
 export function decodeCall(content: Buffer, texts: TextReceiver): TimedCall {
 	const {head, body} = split(content);
 	const [
-		sender, sequence, actionId, foreignState, requestId, service, kind, callSemantics, answerBytesLimit, importance, priority,
-		timeLeftMilliseconds, retries, key, epoch, lastResort, revision, method, target, headers, digest, clock,
-	] = parseHead(head, callChecks);
-	return {
-		clock: clock as HybridTime,
-		frame: {
-			callId: decodeCallId(sender, sequence, texts),
-			action: {actionId, foreignState},
-			requestId,
-			service: texts.decode(service),
-			kind: texts.decode(kind),
-			semantics: callSemantics,
-			answerBytesLimit,
-			importance,
-			priority,
-			timeLeftMilliseconds,
-			retries,
-			key: key ?? undefined,
-			epoch,
-			lastResort,
-			revision,
-			request: {
-				method, target, headers: decodeTexts(headers, texts), digest, body,
-			},
-		} as CallFrame,
+		sender,
+		sequence,
+		actionId,
+		foreignState,
+		requestId,
+		service,
+		kind,
+		callSemantics,
+		answerBytesLimit,
+		importance,
+		priority,
+		timeLeftMilliseconds,
+		retries,
+		key,
+		epoch,
+		lastResort,
+		revision,
+		method,
+		target,
+		headers,
+		digest,
+		clock,
+	] = parseHead<CallHead>(head, callChecks);
+	const frame: CallFrame = {
+		callId: decodeCallId(sender, sequence, texts),
+		action: {actionId, foreignState},
+		requestId,
+		service: texts.decode(service),
+		kind: texts.decode(kind),
+		semantics: callSemantics,
+		answerBytesLimit,
+		importance,
+		priority,
+		timeLeftMilliseconds,
+		retries,
+		key: key ?? undefined,
+		epoch,
+		lastResort,
+		revision,
+		request: {
+			method, target, headers: decodeTexts(headers, texts), digest, body,
+		},
 	};
+	return {clock, frame};
 }
 
 export function encodeAnswer({frame, clock}: TimedAnswer, texts: TextSender): Buffer {
 	const {answer, error, serving} = frame;
 	return join([
-		...encodeCallId(frame.callId, texts), frame.outcome, frame.confirmed, answer === undefined ? null : answer.status, (answer?.headers ?? []).map(text => texts.encode(text)), answer?.body.length ?? 0,
-		error?.kind ?? null, error?.detail ?? '', frame.retriesSpent,
-		serving.headroom, serving.level, serving.leaving, serving.revision, round(serving.servedMilliseconds), clock,
+		...encodeCallId(frame.callId, texts),
+		frame.outcome,
+		frame.confirmed,
+		answer === undefined ? null : answer.status,
+		(answer?.headers ?? []).map(text => texts.encode(text)),
+		answer?.body.length ?? 0,
+		error?.kind ?? null,
+		error?.detail ?? '',
+		frame.retriesSpent,
+		serving.headroom,
+		serving.level,
+		serving.leaving,
+		serving.revision,
+		round(serving.servedMilliseconds),
+		clock,
 	], answer?.body ?? new Uint8Array());
 }
 
@@ -103,27 +198,25 @@
 	const {head, body} = split(content);
 	const [
 		sender, sequence, outcome, confirmed, status, headers, bodyBytes, errorKind, detail, retriesSpent, headroom, level, leaving, revision, servedMilliseconds, clock,
-	] = parseHead(head, answerChecks);
+	] = parseHead<AnswerHead>(head, answerChecks);
 	const callId = decodeCallId(sender, sequence, texts);
 	const answerHeaders = decodeTexts(headers, texts);
 	if (bodyBytes !== body.length) {
 		throw new LaburnumspoolError(ErrorKind.Malformed, `Answer ${callId} has ${body.length} bytes in place of ${String(bodyBytes)}`);
 	}
 
-	return {
-		clock: clock as HybridTime,
-		frame: {
-			callId,
-			outcome,
-			confirmed,
-			answer: status === null ? undefined : {status, headers: answerHeaders, body},
-			error: errorKind === null ? undefined : {kind: errorKind, detail},
-			retriesSpent,
-			serving: {
-				headroom, level, leaving, revision, servedMilliseconds,
-			},
-		} as AnswerFrame,
+	const frame: AnswerFrame = {
+		callId,
+		outcome,
+		confirmed,
+		answer: status === null ? undefined : {status, headers: answerHeaders, body},
+		error: errorKind === null ? undefined : {kind: errorKind, detail},
+		retriesSpent,
+		serving: {
+			headroom, level, leaving, revision, servedMilliseconds,
+		},
 	};
+	return {clock, frame};
 }
 
 function join(head: unknown, body: Uint8Array): Buffer {
@@ -147,13 +240,13 @@
 }
 
 /** Each call passes here, so the checks are plain tests and no schema. */
-function parseHead(head: string, checks: readonly Check[]): readonly unknown[] {
+function parseHead<Head extends readonly unknown[]>(head: string, checks: readonly Check[]): Head {
 	const values = parseJson(head);
 	if (!Array.isArray(values) || values.length !== checks.length || !checks.every((check, index) => check(values[index]))) {
 		throw new LaburnumspoolError(ErrorKind.Malformed, 'The head of the message lacks a value, or has one of another type');
 	}
 
-	return values;
+	return values as unknown as Head;
 }
 
 /** Microseconds are as fine as any time is measured. */
@@ -172,8 +265,8 @@
 	return isNumber(sequence) ? `${text}.${sequence}` : text;
 }
 
-function decodeTexts(values: unknown, texts: TextReceiver): string[] {
-	return (values as readonly unknown[]).map(value => texts.decode(value));
+function decodeTexts(values: readonly unknown[], texts: TextReceiver): string[] {
+	return values.map(value => texts.decode(value));
 }
 
 /** Judged where it is decoded. */
