--- a/benchmarks/src/virtual-system.ts
+++ b/benchmarks/src/virtual-system.ts
@@ -140,14 +140,14 @@
 	}
 
 	/** Sends a caller's request to a node. */
-	request(nodeName: string, request: {readonly service: string; readonly method: string; readonly target: string; readonly key?: string; readonly timeoutMilliseconds?: number; readonly traceparent?: string; readonly tracestate?: string; readonly digest?: string}, answered: (answer: CallerAnswer) => void): () => void {
+	request(nodeName: string, request: {readonly service?: string; readonly host?: string; readonly requestId?: string; readonly method: string; readonly target: string; readonly key?: string; readonly timeoutMilliseconds?: number; readonly traceparent?: string; readonly tracestate?: string; readonly digest?: string}, answered: (answer: CallerAnswer) => void): () => void {
 		const node = this.node(nodeName);
 		node.lastEntryId += 1;
 		const entryId = node.lastEntryId;
-		const {service, method, target, key, timeoutMilliseconds, traceparent, tracestate} = request;
+		const {service = '', host = '', requestId = '', method, target, key, timeoutMilliseconds, traceparent, tracestate} = request;
 		node.callers.set(entryId, answered);
 		this.#carryOut(node, node.core.callerRequested({
-			entryId, service, key, timeoutMilliseconds, traceparent, tracestate, request: {
+			entryId, host, requestId, service, key, timeoutMilliseconds, traceparent, tracestate, request: {
 				method, target, headers: [], body: new Uint8Array(), digest: request.digest ?? `${method} ${target}`,
 			},
 		}, this.#now));
