Split the manifest in force from the node core

Cause: node-core.ts had grown to 517 lines; adoption, lookups, held requests and pulls were spread over it.

--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -3,17 +3,13 @@
  *
  * @module
  */
-import {CallIds} from '../action/call-id.js';
 import {allGuardMechanisms, Guard, type GuardMechanisms} from '../admission/guard.js';
 import type {CancelResult} from '../admission/work.js';
 import type {EntryMechanisms, SendFailure} from '../entry/entry-definition.js';
-import {EntryEffectType, type EntryEffect} from '../entry/entry-call.js';
 import {ErrorKind, Outcome} from '../errors.js';
 import {EventType, type EventDetails} from '../events/event.js';
 import {HybridClock, type HybridTime} from '../events/hybrid-clock.js';
-import {AdoptionResult, ManifestAdoption, type Revision} from '../manifest/adoption.js';
-import {Semantics, type RequestPolicy} from '../manifest/model.js';
-import {RouteTable, SplitChooser} from '../manifest/routes.js';
+import type {Revision} from '../manifest/adoption.js';
 import {UpstreamState, type Member} from '../membership/member.js';
 import {Membership, type MembershipTimes} from '../membership/membership.js';
 import type {GossipMessage} from '../membership/messages.js';
@@ -26,29 +22,22 @@
 import {RangeDirectory} from '../once/range-directory.js';
 import {holderOf, type Holder, type VersionedRecord} from '../once/record.js';
 import {Router} from '../routing/router.js';
-import {Serving, type ServedPolicy} from '../serving/serving.js';
-import {
-	ServingEffectType, type ServingEffect, type UpstreamFailure,
-} from '../serving/served-call.js';
+import type {UpstreamFailure} from '../serving/served-call.js';
 import {UpstreamTracker} from '../upstream/upstream-tracker.js';
 import {CallFlow} from './call-flow.js';
 import {toEntryRequest} from './caller-requests.js';
 import {
 	AnnouncedState, NodeEffectType, type Announcement, type CallerRequest, type NodeEffect, type Withdrawal,
 } from './effects.js';
-import {createLocator} from './locator.js';
+import {ManifestInForce} from './manifest-in-force.js';
 import {MembershipEffects} from './membership-effects.js';
 import {OnceEffects} from './once-effects.js';
-import {formatTraceContext} from '../action/trace-context.js';
 
-const behindHoldMilliseconds = 250;
 const announcementLifeMilliseconds = 5000;
 
 /** Longer than an upstream goes on serving after it said that it leaves, and than its words are late. */
 const doubtMilliseconds = 6000;
 const slowIntervalMilliseconds = 100;
-const manifestPullPauseMilliseconds = 250;
-const spanDigits = 16;
 
 /** Everything that a node has to be told at its start. */
 export type NodeDefinition = {
@@ -89,7 +78,7 @@
 export class NodeCore {
 	readonly #definition: NodeDefinition;
 	readonly #clock: HybridClock;
-	readonly #adoption = new ManifestAdoption();
+	readonly #manifest = new ManifestInForce();
 	readonly #router: Router;
 	readonly #guard: Guard;
 	readonly #once: Once;
@@ -97,17 +86,11 @@
 	readonly #flow: CallFlow;
 	readonly #membership: Membership;
 	readonly #membershipEffects: MembershipEffects;
-	readonly #policies = new Map<string, ServedPolicy>();
-	readonly #held: CallerRequest[] = [];
-	readonly #splits = new SplitChooser();
 	readonly #upstream = new UpstreamTracker();
-	#routes: RouteTable | undefined;
 	#isLeaving = false;
 	#announcedAt = -Infinity;
 	#announcedState: AnnouncedState | undefined;
-	#behindSince = Infinity;
 	#nextSlowAt = 0;
-	#nextManifestPullAt = 0;
 	#lastLimit = 0;
 
 	constructor(definition: NodeDefinition) {
@@ -124,10 +107,10 @@
 			membership: this.#membership,
 			router: this.#router,
 			directory: this.#directory,
-			adoption: this.#adoption,
+			adoption: this.#manifest.adoption,
 			guard: this.#guard,
 			once: this.#once,
-			policies: this.#policies,
+			policies: this.#manifest.policies,
 			clock: this.#clock,
 			onceEffects: new OnceEffects({own: holderOf(definition.own), membership: this.#membership, makeEvent}),
 			makeEvent,
@@ -143,7 +126,7 @@
 	}
 
 	get manifest(): Revision | undefined {
-		return this.#adoption.current;
+		return this.#manifest.current;
 	}
 
 	get once(): Once {
@@ -160,7 +143,7 @@
 
 	/** Calls that are open at this node, as entry or as serving node. */
 	get openCalls(): number {
-		return this.#flow.entry.size + this.#flow.serving.size + this.#held.length;
+		return this.#flow.entry.size + this.#flow.serving.size + this.#manifest.heldCount;
 	}
 
 	/** Whether a leaving node has nothing left to finish. */
@@ -175,12 +158,12 @@
 
 	/** Whether requests are found by host and path prefix, and not by the service that their path names. */
 	get isRouted(): boolean {
-		return this.#routes !== undefined;
+		return this.#manifest.routes !== undefined;
 	}
 
 	/** Why the node does not serve callers; undefined when it does. */
 	get unreadyReason(): string | undefined {
-		return this.#adoption.current === undefined ? 'No manifest revision is in force yet' : undefined;
+		return this.#manifest.current === undefined ? 'No manifest revision is in force yet' : undefined;
 	}
 
 	/** Highest version known of a service's key ranges, for peers that pull it. */
@@ -189,17 +172,12 @@
 	}
 
 	callerRequested(caller: CallerRequest, now: number): NodeEffect[] {
-		const {current} = this.#adoption;
+		const {current} = this.#manifest;
 		if (current === undefined) {
 			return [this.#answerCaller(caller.entryId, Outcome.NotRun, {kind: ErrorKind.NotReady, detail: 'The node has no manifest yet'})];
 		}
 
-		if (this.#adoption.isBehind && now - this.#behindSince < behindHoldMilliseconds) {
-			this.#held.push(caller);
-			return [];
-		}
-
-		return this.#openCall(caller, current, now);
+		return this.#manifest.hold(caller, now) ? [] : this.#openCall(caller, current, now);
 	}
 
 	callerGone(entryId: number, now: number): NodeEffect[] {
@@ -286,11 +264,10 @@
 	}
 
 	manifestArrived(revision: Revision, now: number): NodeEffect[] {
-		if (this.#adoption.offer(revision) !== AdoptionResult.Adopted) {
+		if (!this.#manifest.offer(revision)) {
 			return [];
 		}
 
-		this.#indexPolicies(revision);
 		this.#setOnceService();
 		const announced = this.#fromMembership(this.#membership.announce({topic: manifestTopic, version: revision.number}), now);
 		const event = this.#event({type: EventType.ManifestAdopted, detail: `revision ${revision.number}`});
@@ -356,7 +333,7 @@
 			bounds: claimBounds,
 			wallClock,
 			random,
-			rememberForMilliseconds: () => (this.#adoption.current?.manifest.rememberForSeconds ?? 600) * 1000,
+			rememberForMilliseconds: () => (this.#manifest.current?.manifest.rememberForSeconds ?? 600) * 1000,
 			clockErrorMilliseconds,
 			longestCallMilliseconds: 600_000,
 			withoutStoreMilliseconds,
@@ -366,8 +343,8 @@
 	#openCall(caller: CallerRequest, current: Revision, now: number): NodeEffect[] {
 		const result = toEntryRequest(caller, {
 			manifest: current.manifest,
-			routes: this.#routes,
-			splits: this.#splits,
+			routes: this.#manifest.routes,
+			splits: this.#manifest.splits,
 			enclosing: callId => this.#flow.serving.enclosing(callId),
 			enclosingOfRequest: requestId => this.#flow.serving.enclosingOfRequest(requestId),
 			newActionId: this.#definition.newActionId,
@@ -405,31 +382,17 @@
 	}
 
 	#hearRevision(number: number, now: number): NodeEffect[] {
-		this.#adoption.hear(number);
-		if (!this.#adoption.isBehind) {
-			this.#behindSince = Infinity;
-			return [];
-		}
-
-		this.#behindSince = Math.min(this.#behindSince, now);
-		return this.#pullManifest(now);
+		return this.#manifest.hear(number, now) ? this.#pullManifest() : [];
 	}
 
-	#pullManifest(now: number): NodeEffect[] {
-		if (now < this.#nextManifestPullAt) {
-			return [];
-		}
-
-		this.#nextManifestPullAt = now + manifestPullPauseMilliseconds;
+	#pullManifest(): NodeEffect[] {
 		const {region} = this.own.location;
 		const near = this.#membership.choose(2, member => member.location.region === region);
 		return [{type: NodeEffectType.PullManifest, from: [...near, ...this.#membership.choose(1)]}];
 	}
 
 	#releaseHeld(now: number): NodeEffect[] {
-		this.#behindSince = Infinity;
-		const held = this.#held.splice(0);
-		return held.flatMap(caller => this.callerRequested(caller, now));
+		return this.#manifest.release(now).flatMap(caller => this.callerRequested(caller, now));
 	}
 
 	#noteRecord(record: VersionedRecord | undefined, now: number): NodeEffect[] {
@@ -442,18 +405,9 @@
 		return this.#fromMembership(this.#membership.announce(rumor), now);
 	}
 
-	#indexPolicies(revision: Revision): void {
-		this.#policies.clear();
-		this.#splits.reset();
-		this.#routes = revision.manifest.routes === undefined ? undefined : new RouteTable(revision.manifest.routes);
-		Object.entries(revision.manifest.services).map(([service, policy]) => policy.requests.map(request =>
-			this.#policies.set(`${service}/${request.kind}`, {request, answerBytesLimit: policy.answerBytesLimit})));
-	}
-
 	#setOnceService(): void {
 		const {service} = this.own;
-		const requests = this.#adoption.current?.manifest.services[service]?.requests ?? [];
-		this.#once.setService(service, requests.some(request => request.semantics === Semantics.AtMostOnce));
+		this.#once.setService(service, this.#manifest.hasAtMostOnce(service));
 		this.#once.setMembers(this.#membership.members);
 	}
 
@@ -478,8 +432,8 @@
 		const membership = this.#fromMembership(this.#membership.advance(now), now);
 		const once = this.#flow.fromServing(this.#flow.serving.fromOnce(this.#once.advance(now), now), now);
 		const pulls = this.#directory.takePulls(now).flatMap(service => this.#pullRecord(service));
-		const behind = this.#adoption.isBehind ? this.#pullManifest(now) : [];
-		const held = now - this.#behindSince >= behindHoldMilliseconds ? this.#held.splice(0).flatMap(caller => this.callerRequested(caller, now)) : [];
+		const behind = this.#manifest.isPullDue(now) ? this.#pullManifest() : [];
+		const held = this.#releaseHeld(now);
 		return [...silenced, ...membership, ...once, ...pulls, ...behind, ...held, ...this.#limitEvent()];
 	}
 
