Tell levels from below apart, and know levels for longer

A level was known for 150 ms, and a candidate of unknown level counted as admitting all, so the least level was 0 nearly always.

Change: levels are known for 0.6 s; unknown candidates do not count; a peer's own want of room needs two witnesses, want of room below it one.

--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -64,6 +64,8 @@
 
 /** Where a serving node stands, told with each answer. */
 export type ServingState = GuardLoad & {
+	/** Least priority that the services below admit for what the kind calls. */
+	readonly levelBelow: number;
 	readonly leaving: boolean;
 	readonly revision: number;
 	/** Time between the arrival of the call and its answer. */
--- a/packages/core/src/routing/peer-loads.ts
+++ b/packages/core/src/routing/peer-loads.ts
@@ -6,11 +6,16 @@
 import type {ServingState} from '../messages.js';
 
 const freshMilliseconds = 1000;
-const levelHoldMilliseconds = 150;
+
+/** A node sends a peer a few calls of a kind in this time, so that some of its levels are known at any moment. */
+const levelHoldMilliseconds = 600;
 const assumedHeadroom = 1;
 const linkSmoothing = 0.2;
 const unreachableMilliseconds = 500;
 
+/** Least priorities that a peer admits for a kind: for want of room of its own, and for want of room below it. */
+export type KnownLevel = {readonly own: number; readonly below: number; readonly at: number};
+
 type PeerLoad = {
 	outstanding: number;
 	headroom: number;
@@ -21,7 +26,7 @@
 	unreachableUntil: number;
 	incarnation: number;
 	version: number;
-	readonly levels: Map<string, {level: number; at: number}>;
+	readonly levels: Map<string, KnownLevel>;
 };
 
 /**
@@ -50,10 +55,10 @@
 		return load.headroom - (load.outstanding - load.outstandingAtReport);
 	}
 
-	/** Least priority that the peer admits for the kind; 0 when nothing recent is known. */
-	level(peer: string, kind: string, now: number): number {
+	/** Least priorities that the peer admits for the kind; undefined when nothing recent is known. */
+	level(peer: string, kind: string, now: number): KnownLevel | undefined {
 		const entry = this.#peers.get(peer)?.levels.get(kind);
-		return entry === undefined || now - entry.at > levelHoldMilliseconds ? 0 : entry.level;
+		return entry === undefined || now - entry.at > levelHoldMilliseconds ? undefined : entry;
 	}
 
 	isLeaving(peer: string): boolean {
@@ -83,7 +88,7 @@
 		load.reportedAt = now;
 		load.leaving = serving.leaving;
 		load.unreachableUntil = 0;
-		load.levels.set(kind, {level: serving.level, at: now});
+		load.levels.set(kind, {own: serving.level, below: serving.levelBelow, at: now});
 		const link = Math.max(0, (roundTripMilliseconds - serving.servedMilliseconds) / 2);
 		load.linkMilliseconds += linkSmoothing * (link - load.linkMilliseconds);
 	}
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -10,6 +10,8 @@
 } from './candidates.js';
 import {PeerLoads} from './peer-loads.js';
 
+const fewestLevels = 2;
+
 /** What the router needs to know of a call. */
 export type RoutingRequest = {
 	readonly service: string;
@@ -91,18 +93,25 @@
 
 		const admitting = request.importance === Importance.Critical
 			? untried
-			: untried.filter(({member}) => this.loads.level(member.name, request.kind, now) <= request.priority);
-		if (admitting.length === 0) {
+			: untried.filter(({member}) => (this.loads.level(member.name, request.kind, now)?.own ?? 0) <= request.priority);
+		const isShed = request.importance !== Importance.Critical && this.lowestLevel(request.service, request.kind, now) > request.priority;
+		if (admitting.length === 0 || isShed) {
 			return {type: RouteType.Shed};
 		}
 
 		return {type: RouteType.Send, candidate: this.#nearestWithRoom(admitting, now) ?? this.#leastLoaded(admitting, now)};
 	}
 
-	/** Level below which every candidate refuses the kind: an entry need not ask. */
+	/**
+	 * Level below which the candidates refuse the kind, as far as it is known: an entry need not ask. One candidate's
+	 * want of room says nothing of the others, since it may be the slow one of many; what is short below is short for all.
+	 */
 	lowestLevel(service: string, kind: string, now: number): number {
-		const levels = this.candidates(service).map(({member}) => this.loads.level(member.name, kind, now));
-		return levels.length === 0 ? 0 : Math.min(...levels);
+		const candidates = this.candidates(service);
+		const levels = candidates.flatMap(({member}) => this.loads.level(member.name, kind, now) ?? []);
+		const below = levels.length === 0 ? 0 : Math.min(...levels.map(level => level.below));
+		const isOwnKnown = levels.length >= Math.min(fewestLevels, candidates.length) && levels.length > 0;
+		return Math.max(below, isOwnKnown ? Math.min(...levels.map(level => level.own)) : 0);
 	}
 
 	/** The candidate with the most room, whether it has refused before or not. */
--- a/packages/core/src/serving/serving.ts
+++ b/packages/core/src/serving/serving.ts
@@ -378,7 +378,8 @@
 				retriesSpent: call.account.spent,
 				serving: {
 					headroom,
-					level: Math.max(level, levelBelow),
+					level,
+					levelBelow,
 					leaving: this.#definition.isLeaving(),
 					revision: this.#definition.revision(),
 					servedMilliseconds: now - call.arrivedAt,
--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -29,7 +29,7 @@
 type AnswerHead = readonly [
 	sender: unknown, sequence: unknown, outcome: Outcome, confirmed: boolean, status: number | null, headers: readonly unknown[], bodyBytes: number,
 	errorKind: ErrorKind | null, detail: string, retriesSpent: number,
-	headroom: number, level: number, leaving: boolean, revision: number, servedMilliseconds: number, clock: HybridTime,
+	headroom: number, level: number, levelBelow: number, leaving: boolean, revision: number, servedMilliseconds: number, clock: HybridTime,
 ];
 
 type Check = (value: unknown) => boolean;
@@ -77,6 +77,7 @@
 	isNumber,
 	isNumber,
 	isNumber,
+	isNumber,
 	isBoolean,
 	isNumber,
 	isNumber,
@@ -186,6 +187,7 @@
 		frame.retriesSpent,
 		serving.headroom,
 		serving.level,
+		serving.levelBelow,
 		serving.leaving,
 		serving.revision,
 		round(serving.servedMilliseconds),
@@ -197,7 +199,7 @@
 export function decodeAnswer(content: Buffer, texts: TextReceiver): TimedAnswer {
 	const {head, body} = split(content);
 	const [
-		sender, sequence, outcome, confirmed, status, headers, bodyBytes, errorKind, detail, retriesSpent, headroom, level, leaving, revision, servedMilliseconds, clock,
+		sender, sequence, outcome, confirmed, status, headers, bodyBytes, errorKind, detail, retriesSpent, headroom, level, levelBelow, leaving, revision, servedMilliseconds, clock,
 	] = parseHead<AnswerHead>(head, answerChecks);
 	const callId = decodeCallId(sender, sequence, texts);
 	const answerHeaders = decodeTexts(headers, texts);
@@ -213,7 +215,7 @@
 		error: errorKind === null ? undefined : {kind: errorKind, detail},
 		retriesSpent,
 		serving: {
-			headroom, level, leaving, revision, servedMilliseconds,
+			headroom, level, levelBelow, leaving, revision, servedMilliseconds,
 		},
 	};
 	return {clock, frame};
--- a/packages/protocol/src/tests/codecs.test.ts
+++ b/packages/protocol/src/tests/codecs.test.ts
@@ -20,7 +20,7 @@
 
 const answer: AnswerFrame = {
 	callId: 'n.1.1', outcome: Outcome.Ran, confirmed: false, answer: {status: 200, headers: [], body: Buffer.from('whole')}, error: undefined, retriesSpent: 0, serving: {
-		headroom: 3, level: 0, leaving: false, revision: 3, servedMilliseconds: 4,
+		headroom: 3, level: 0, levelBelow: 130, leaving: false, revision: 3, servedMilliseconds: 4,
 	},
 };
 
