--- a/packages/core/src/entry/entry.ts
+++ b/packages/core/src/entry/entry.ts
@@ -93,7 +93,8 @@
 			return this.#answer(state, frame.outcome, undefined, frame);
 		}
 
-		const error = frame.error ?? {kind: ErrorKind.UpstreamBroken, detail: 'The answer was empty'};
+		const {kind, detail} = frame.error ?? {kind: ErrorKind.UpstreamBroken, detail: 'The answer was empty'};
+		const error = {kind, detail: `${detail}, at ${sending.destination.member.name}`};
 		state.lastConfirmed = frame.confirmed;
 		return this.#afterFailure(state, sending.destination, frame.outcome, error, now);
 	}
@@ -191,7 +192,8 @@
 	}
 
 	#timeOut(state: EntryState): EntryEffect[] {
-		const error = {kind: ErrorKind.TimedOut, detail: `No answer within the time for ${state.request.service}/${state.request.policy.kind}`};
+		const {lastError, request: {service, policy}} = state;
+		const error = {kind: ErrorKind.TimedOut, detail: `No answer within the time for ${service}/${policy.kind}${lastError === undefined ? '' : `; before that: ${lastError.detail}`}`};
 		return this.#answer(state, this.#finalOutcome(state), error);
 	}
 
--- a/packages/core/src/events/event.ts
+++ b/packages/core/src/events/event.ts
@@ -40,6 +40,8 @@
 	readonly kind?: string;
 	/** Short text: a reason, a name, a number. */
 	readonly detail?: string;
+	/** What decided it, in words. */
+	readonly cause?: string;
 };
 
 /** An event of one process. */
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -67,7 +67,7 @@
 		[EntryEffectType.Send]: ({destination, frame}, now) => this.#sendCall(destination.member, frame, now),
 		[EntryEffectType.CancelAtPeer]: ({member, callId}, now) => this.#cancelCall(member, callId, now),
 		[EntryEffectType.AnswerCaller]: ({entryId, answer, request}, now) => this.#answerCaller(entryId, answer, request, now),
-		[EntryEffectType.Retried]: ({request, error}) => [this.#requestEvent(EventType.Retried, request, error.kind)],
+		[EntryEffectType.Retried]: ({request, error}) => [this.#requestEvent(EventType.Retried, request, error.kind, error.detail)],
 		[EntryEffectType.StaleAnswer]: ({callId}) => [this.#parts.makeEvent({type: EventType.StaleAnswer, detail: callId})],
 		[EntryEffectType.RangeOutdated]: ({service}) => {
 			this.#parts.directory.want(service);
@@ -170,12 +170,13 @@
 
 	#answerCaller(entryId: number, answer: CallerAnswer, request: EntryRequest, now: number): NodeEffect[] {
 		this.#endNested(entryId, now);
-		return [this.#requestEvent(EventType.Answered, request, answer.error?.kind ?? answer.outcome), {type: NodeEffectType.AnswerCaller, entryId, answer}];
+		const cause = answer.error === undefined ? undefined : `${answer.outcome} after ${answer.attempts} attempts, revision ${this.#parts.adoption.number}: ${answer.error.detail}`;
+		return [this.#requestEvent(EventType.Answered, request, answer.error?.kind ?? answer.outcome, cause), {type: NodeEffectType.AnswerCaller, entryId, answer}];
 	}
 
-	#requestEvent(type: EventType, {action, requestId, service, policy}: EntryRequest, detail: string): NodeEffect {
+	#requestEvent(type: EventType, {action, requestId, service, policy}: EntryRequest, detail: string, cause?: string): NodeEffect {
 		return this.#parts.makeEvent({
-			type, action: action.actionId, request: requestId, service, kind: policy.kind, detail,
+			type, action: action.actionId, request: requestId, service, kind: policy.kind, detail, ...(cause === undefined ? {} : {cause}),
 		});
 	}
 
--- a/packages/node/src/event-log.ts
+++ b/packages/node/src/event-log.ts
@@ -29,13 +29,13 @@
 
 /** Writes an event, unless it is routine. */
 export function logEvent(log: PartLog, event: NodeEvent): void {
-	const {type, service, kind, request, detail} = event;
+	const {type, service, kind, request, detail, cause} = event;
 	const isWhole = type === EventType.Answered && detail === Outcome.Ran;
 	if (routineEvents.has(type) || isWhole) {
 		return;
 	}
 
 	log.info(sentences[type] ?? type, {
-		event: type, request, service, kind, detail,
+		event: type, request, service, kind, detail, cause,
 	});
 }
