Take an unknown peer to have a quarter of its slots free

A peer of which nothing recent is known counted as having room for one call, so beside a known one with more room it was not chosen; it was tried only when the others were full, which has become rarer.

Change: while nothing is known a peer counts as having a quarter of its announced slots free. The test of a newcomer fails before and passes after; tests of levels from below and of two witnesses come with it.

--- a/packages/core/src/routing/peer-loads.ts
+++ b/packages/core/src/routing/peer-loads.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type {Member} from '../membership/member.js';
 import type {ServingState} from '../messages.js';
 
 const freshMilliseconds = 1000;
@@ -10,6 +11,9 @@
 /** A node sends a peer a few calls of a kind in this time, so that some of its levels are known at any moment. */
 const levelHoldMilliseconds = 600;
 const assumedHeadroom = 1;
+
+/** Share of its slots that a peer is taken to have free while nothing recent is known, so that newcomers are tried. */
+const assumedShare = 0.25;
 const linkSmoothing = 0.2;
 const unreachableMilliseconds = 500;
 
@@ -26,6 +30,7 @@
 	unreachableUntil: number;
 	incarnation: number;
 	version: number;
+	slots: number;
 	readonly levels: Map<string, KnownLevel>;
 };
 
@@ -49,7 +54,7 @@
 	headroom(peer: string, now: number): number {
 		const load = this.#peers.get(peer);
 		if (load === undefined || now - load.reportedAt > freshMilliseconds) {
-			return assumedHeadroom - (load?.outstanding ?? 0);
+			return Math.max(assumedHeadroom, (load?.slots ?? 0) * assumedShare) - (load?.outstanding ?? 0);
 		}
 
 		return load.headroom - (load.outstanding - load.outstandingAtReport);
@@ -106,7 +111,7 @@
 	}
 
 	/** Notes what membership says: a new incarnation is another peer, and a new version takes back an older `leaving`. */
-	noteMember(peer: string, incarnation: number, version: number): void {
+	noteMember({name: peer, incarnation, version, slots}: Pick<Member, 'name' | 'incarnation' | 'version' | 'slots'>): void {
 		const known = this.#peers.get(peer);
 		if (known !== undefined && known.incarnation !== 0 && known.incarnation !== incarnation) {
 			this.#peers.delete(peer);
@@ -117,6 +122,7 @@
 		load.leaving &&= load.version === version;
 		load.incarnation = incarnation;
 		load.version = version;
+		load.slots = slots;
 	}
 
 	#entry(peer: string): PeerLoad {
@@ -135,6 +141,7 @@
 			unreachableUntil: 0,
 			incarnation: 0,
 			version: 0,
+			slots: 0,
 			levels: new Map(),
 		};
 		this.#peers.set(peer, created);
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -62,7 +62,7 @@
 
 	setMembers(members: readonly Member[]): void {
 		members.map(member => {
-			this.loads.noteMember(member.name, member.incarnation, member.version);
+			this.loads.noteMember(member);
 		});
 		this.#members = members;
 		this.#candidates = new Map();
--- /dev/null
+++ b/packages/core/src/tests/routing.test.ts
@@ -0,0 +1,56 @@
+import {test} from 'tap';
+import {
+	Importance, Liveness, Router, RouteType, UpstreamState, type Member, type RoutingRequest, type ServingState,
+} from '../index.js';
+
+const member = (name: string, failureDomain: string): Member => ({
+	name, incarnation: 1, version: 1, location: {region: 'r', failureDomain}, host: name, callersPort: 1, peersPort: 2, controlPort: 3, service: 'deep', state: UpstreamState.Ready, slots: 30, liveness: Liveness.Alive,
+});
+
+const request: RoutingRequest = {
+	service: 'deep', kind: 'fetch', importance: Importance.Normal, priority: 200, crossRegion: true, excluded: new Set(),
+};
+
+const serving = (changes: Partial<ServingState> = {}): ServingState => ({
+	headroom: 3, level: 0, levelBelow: 0, leaving: false, revision: 1, servedMilliseconds: 5, ...changes,
+});
+
+function createRouter(members: readonly Member[]): Router {
+	let turn = 0;
+	const router = new Router({name: 'entry', location: {region: 'r', failureDomain: 'a'}}, () => {
+		turn += 0.37;
+		return turn % 1;
+	});
+	router.setMembers(members);
+	return router;
+}
+
+function answer(router: Router, name: string, state: ServingState, now: number): void {
+	router.loads.started(name);
+	router.loads.finished(name, 'fetch', state, 6, now);
+}
+
+test('a newcomer of which nothing is known is tried beside a busy one', async t => {
+	const router = createRouter([member('known', 'a'), member('new', 'a')]);
+	answer(router, 'known', serving({headroom: 3}), 1000);
+	const choice = router.route(request, 1010);
+	t.match(choice, {type: RouteType.Send, candidate: {member: {name: 'new'}}});
+});
+
+test('want of room below one peer is enough to refuse at the entry, want of its own room is not', async t => {
+	const router = createRouter([member('near', 'a'), member('other', 'b')]);
+	answer(router, 'near', serving({level: 250}), 1000);
+	t.match(router.route(request, 1010), {type: RouteType.Send, candidate: {member: {name: 'other'}}});
+	answer(router, 'near', serving({levelBelow: 250}), 1020);
+	t.equal(router.route(request, 1030).type, RouteType.Shed);
+	t.equal(router.route({...request, importance: Importance.Critical}, 1030).type, RouteType.Send);
+	t.equal(router.route(request, 1700).type, RouteType.Send, 'what was known has grown old');
+});
+
+test('the entry refuses when two peers have said that they have no room', async t => {
+	const router = createRouter([member('near', 'a'), member('other', 'b'), member('third', 'b')]);
+	answer(router, 'near', serving({level: 250}), 1000);
+	answer(router, 'other', serving({level: 240}), 1000);
+	t.equal(router.lowestLevel('deep', 'fetch', 1010), 240);
+	t.equal(router.route(request, 1010).type, RouteType.Shed);
+});
