Read the levels below in one pass, and drop a type without use

Cause: the calls that the manifest states and those that were seen were reduced by two copies of one loop, for each answer; the answer's bound travels with the call since the routes came, so ServedPolicy held a copy that nobody read.

Change: one reduction over both; policies hold the request's policy itself.

--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -13,13 +13,14 @@
 import {EventType} from '../events/event.js';
 import type {HybridClock} from '../events/hybrid-clock.js';
 import type {ManifestAdoption} from '../manifest/adoption.js';
+import type {RequestPolicy} from '../manifest/model.js';
 import {UpstreamState, type Member} from '../membership/member.js';
 import type {Membership} from '../membership/membership.js';
 import type {AnswerFrame, CallerAnswer, CallFrame} from '../messages.js';
 import type {Once} from '../once/once.js';
 import type {RangeDirectory} from '../once/range-directory.js';
 import type {Router} from '../routing/router.js';
-import {Serving, type ServedPolicy} from '../serving/serving.js';
+import {Serving} from '../serving/serving.js';
 import {ServingEffectType, type ServingEffect} from '../serving/served-call.js';
 import {NodeEffectType, type EventMaker, type NodeEffect} from './effects.js';
 import {createLocator} from './locator.js';
@@ -42,7 +43,7 @@
 	readonly guard: Guard;
 	readonly once: Once;
 	/** Policies by service and kind. */
-	readonly policies: ReadonlyMap<string, ServedPolicy>;
+	readonly policies: ReadonlyMap<string, RequestPolicy>;
 	readonly clock: HybridClock;
 	readonly onceEffects: OnceEffects;
 	readonly makeEvent: EventMaker;
@@ -224,10 +225,9 @@
 	/** Calls that the manifest states and calls that the upstream was seen to make for the kind. */
 	#levelBelow(kind: string, now: number): number {
 		const {policies, membership, router} = this.#parts;
-		const stated = policies.get(`${membership.own.service}/${kind}`)?.request.calls ?? [];
-		const seen = this.#seenCalls.get(kind);
-		const level = stated.reduce((highest, call) => Math.max(highest, router.lowestLevel(call.service, call.kind, now)), 0);
-		return seen === undefined ? level : [...seen.values()].reduce((highest, call) => Math.max(highest, router.lowestLevel(call.service, call.kind, now)), level);
+		const stated = policies.get(`${membership.own.service}/${kind}`)?.calls ?? [];
+		const seen = this.#seenCalls.get(kind)?.values() ?? [];
+		return [...stated, ...seen].reduce((level, call) => Math.max(level, router.lowestLevel(call.service, call.kind, now)), 0);
 	}
 
 	#noteCall(enclosingKind: string, {service, policy}: EntryRequest): void {
--- a/packages/core/src/node/manifest-in-force.ts
+++ b/packages/core/src/node/manifest-in-force.ts
@@ -5,8 +5,7 @@
  */
 import {AdoptionResult, ManifestAdoption, type Revision} from '../manifest/adoption.js';
 import {RouteTable, SplitChooser} from '../manifest/routes.js';
-import {Semantics} from '../manifest/model.js';
-import type {ServedPolicy} from '../serving/serving.js';
+import {Semantics, type RequestPolicy} from '../manifest/model.js';
 import type {CallerRequest} from './effects.js';
 
 /** Longest time for which a request waits for a revision that is known to exist. */
@@ -24,7 +23,7 @@
 export class ManifestInForce {
 	readonly adoption = new ManifestAdoption();
 	/** Policies by service and kind. */
-	readonly policies = new Map<string, ServedPolicy>();
+	readonly policies = new Map<string, RequestPolicy>();
 	readonly splits = new SplitChooser();
 	#routes: RouteTable | undefined;
 	#held: CallerRequest[] = [];
@@ -61,8 +60,8 @@
 		this.policies.clear();
 		this.splits.reset();
 		this.#routes = routes === undefined ? undefined : new RouteTable(routes);
-		Object.entries(services).map(([service, {requests, answerBytesLimit}]) => requests.map(request =>
-			this.policies.set(`${service}/${request.kind}`, {request, answerBytesLimit})));
+		Object.entries(services).map(([service, {requests}]) => requests.map(request =>
+			this.policies.set(`${service}/${request.kind}`, request)));
 		return true;
 	}
 
--- a/packages/core/src/serving/serving.ts
+++ b/packages/core/src/serving/serving.ts
@@ -32,18 +32,12 @@
 	[UpstreamFailure.OtherInstance]: {kind: ErrorKind.NotServed, detail: 'Another incarnation stands at the address', end: DispatchEnd.Broken},
 };
 
-/** What serving knows of a request kind. */
-export type ServedPolicy = {
-	readonly request: RequestPolicy;
-	readonly answerBytesLimit: number;
-};
-
 export type ServingDefinition = {
 	readonly guard: Guard;
 	readonly once: Once;
 	/** Service of the own upstream; empty while there is none. */
 	readonly service: () => string;
-	readonly policyOf: (service: string, kind: string) => ServedPolicy | undefined;
+	readonly policyOf: (service: string, kind: string) => RequestPolicy | undefined;
 	readonly revision: () => number;
 	readonly isLeaving: () => boolean;
 	/** Least priority that the services below admit for what the kind calls. */
@@ -195,7 +189,7 @@
 			idempotent: frame.semantics === Semantics.Idempotent,
 			deadline: now + frame.timeLeftMilliseconds,
 			arrivedAt: now,
-			guaranteedShare: this.#definition.policyOf(frame.service, frame.kind)?.request.guaranteedShare ?? 0,
+			guaranteedShare: this.#definition.policyOf(frame.service, frame.kind)?.guaranteedShare ?? 0,
 			lastResort: frame.lastResort,
 		};
 		return {
