Take settled calls out of the queue of the guard

Cause: a key range can change hands while calls of it wait for a slot. Such a call was refused and forgotten, but its work stayed in the guard's queue; when its turn came it was given a slot that nothing ever freed. With 16 payments at once on 4 slots while the ranges were being spread after the start, all slots were lost within a second.

Change: a guard withdraws work that was settled elsewhere, whether it waits or runs.

--- a/packages/core/src/admission/guard.ts
+++ b/packages/core/src/admission/guard.ts
@@ -151,6 +151,11 @@
 		return this.#dispatchWaiting(now);
 	}
 
+	/** Takes out work that was settled elsewhere, whether it waits or holds a slot. */
+	withdraw(callId: string, now: number): GuardEffect[] {
+		return this.#queue.remove(callId) === undefined ? this.finish(callId, DispatchEnd.Broken, 0, now) : [];
+	}
+
 	/** Carries out what time alone brings about. Call it every few milliseconds while calls are open. */
 	advance(now: number): GuardEffect[] {
 		this.#level.advance(now);
--- a/packages/core/src/serving/serving.ts
+++ b/packages/core/src/serving/serving.ts
@@ -303,7 +303,7 @@
 
 	#refusedByOnce(call: ServedCall, error: CallError, isNotRun: boolean, confirmed: boolean, now: number): ServingEffect[] {
 		const answered = this.#answer(call, isNotRun ? Outcome.NotRun : Outcome.Unknown, undefined, error, confirmed, now);
-		return [...answered, ...this.#fromGuard(this.#definition.guard.finish(call.frame.callId, DispatchEnd.Broken, 0, now), now)];
+		return [...answered, ...this.#fromGuard(this.#definition.guard.withdraw(call.frame.callId, now), now)];
 	}
 
 	#failNotRun(call: ServedCall, {kind, detail, end}: NotRunFailure, now: number): ServingEffect[] {
