Take less work for each request on the way of bytes

Of what is the project's own: a frame left as two parts over a corked stream (writev is the dearest entry, 16 to 26 %), each request without a body still went through a promise and three listeners, headers were walked three times, and tables of handlers were made anew for each frame.

Change: one buffer and one write for the frames of a turn; no reading where there is no body; headers walked once, and those that a connection header declares taken out only when it declares any.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -103,7 +103,7 @@
 		}
 
 		this.#status = status;
-		this.#headers = Object.entries(headers).flatMap(([name, value]) => [value].flat().flatMap(item => item === undefined ? [] : [name, item]));
+		this.#headers = toPairs(headers);
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -149,3 +149,17 @@
 		this.#report(result);
 	}
 }
+
+/** Names and values in turn. */
+function toPairs(headers: Record<string, string | string[] | undefined>): string[] {
+	const pairs: string[] = [];
+	for (const [name, value] of Object.entries(headers)) {
+		if (typeof value === 'string') {
+			pairs.push(name, value);
+		} else {
+			(value ?? []).map(item => pairs.push(name, item));
+		}
+	}
+
+	return pairs;
+}
--- a/packages/node/src/http-messages.ts
+++ b/packages/node/src/http-messages.ts
@@ -11,12 +11,16 @@
 } from '@laburnumspool/core';
 
 const retryAfterSeconds = 1;
+const nothing = Buffer.alloc(0);
 
 /** Headers of one connection, never passed on. */
 const hopHeaders: ReadonlySet<string> = new Set([
 	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length', 'expect',
 ]);
 
+/** Values of the connection header that declare no others. */
+const onlyKeepsOrCloses = /^(?:keep-alive|close)$/iu;
+
 /** Names of the system's own headers. */
 export enum HeaderName {
 	Key = 'idempotency-key',
@@ -30,15 +34,23 @@
 /** Pairs of name and value of raw headers, with lower-case names, without those of one connection and those to drop. */
 export function filterHeaders(headers: RawHeaders, dropped: ReadonlySet<string>): string[] {
 	const kept: string[] = [];
-	const named = namedByConnection(headers);
+	let declared: string | undefined;
 	for (let position = 0; position + 1 < headers.length; position += 2) {
 		const name = headers[position]!.toLowerCase();
-		if (!hopHeaders.has(name) && !dropped.has(name) && !named.includes(name)) {
+		if (name === 'connection') {
+			declared = declared === undefined ? headers[position + 1] : `${declared},${headers[position + 1]}`;
+		} else if (!hopHeaders.has(name) && !dropped.has(name)) {
 			kept.push(name, headers[position + 1]!);
 		}
 	}
 
-	return kept;
+	return declared === undefined || onlyKeepsOrCloses.test(declared) ? kept : withoutDeclared(kept, declared);
+}
+
+/** Leaves out the headers that the sender declares as those of the connection. */
+function withoutDeclared(headers: readonly string[], declared: string): string[] {
+	const names = new Set(declared.split(',').map(name => name.trim().toLowerCase()));
+	return headers.flatMap((name, position) => position % 2 === 0 && !names.has(name) ? [name, headers[position + 1]!] : []);
 }
 
 /** Value of a header among raw pairs with lower-case names. */
@@ -47,13 +59,6 @@
 	return position === -1 ? undefined : headers[position + 1];
 }
 
-/** Headers that the sender declares as those of the connection. */
-function namedByConnection(headers: RawHeaders): string[] {
-	return headers.flatMap((header, index) => index % 2 === 0 && header.toLowerCase() === 'connection'
-		? headers[index + 1]!.split(',').map(name => name.trim().toLowerCase())
-		: []);
-}
-
 /** Reads a body; rejects with `payload-too-large`, or with `malformed` when the sender stops before its end. */
 export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Buffer> {
 	const declared = Number(request.headers['content-length'] ?? 0);
@@ -61,6 +66,10 @@
 		throw new LaburnumspoolError(ErrorKind.PayloadTooLarge, `The body has ${declared} bytes; at most ${maximumBytes} are taken`);
 	}
 
+	if (declared === 0 && request.headers['transfer-encoding'] === undefined) {
+		return nothing;
+	}
+
 	return new Promise((resolve, reject) => {
 		const chunks: Buffer[] = [];
 		let length = 0;
--- a/packages/node/src/peer-link.ts
+++ b/packages/node/src/peer-link.ts
@@ -41,7 +41,8 @@
 	readonly #handlers: PeerLinkHandlers;
 	readonly #reader = new FrameReader(maximumFrameBytes);
 	#isClosed = false;
-	#isCorked = false;
+	/** Frames of this turn of the event loop. */
+	#unsent: Buffer[] = [];
 	#heardAt = 0;
 	#pingedAt = 0;
 
@@ -78,19 +79,13 @@
 			return;
 		}
 
-		if (!this.#isCorked) {
-			this.#isCorked = true;
-			this.#socket.cork();
+		if (this.#unsent.length === 0) {
 			setImmediate(() => {
-				this.#isCorked = false;
-				this.#socket.uncork();
+				this.#flush();
 			});
 		}
 
-		this.#socket.write(frameHead(type, content.length));
-		if (content.length > 0) {
-			this.#socket.write(content);
-		}
+		this.#unsent.push(frameHead(type, content.length), content);
 	}
 
 	/** Asks for signs of life while something is expected; closes a link that has gone silent. Call it a few times a second. */
@@ -127,6 +122,15 @@
 		this.#handlers.closed(reason);
 	}
 
+	/** One write costs less than one for each part. */
+	#flush(): void {
+		const unsent = this.#unsent;
+		this.#unsent = [];
+		if (!this.#isClosed) {
+			this.#socket.write(Buffer.concat(unsent));
+		}
+	}
+
 	#take(chunk: Buffer): void {
 		try {
 			this.#reader.push(chunk).map(frame => {
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -203,15 +203,11 @@
 	}
 
 	#take(way: Way, {type, content}: Frame): void {
-		const handlers: Readonly<Partial<Record<FrameType, () => void>>> = {
-			[FrameType.Answer]: () => {
-				this.#takeAnswer(way, content);
-			},
-			[FrameType.CancellationReply]: () => {
-				this.#takeCancellationReply(way, content.toString('utf8'));
-			},
-		};
-		handlers[type]?.();
+		if (type === FrameType.Answer) {
+			this.#takeAnswer(way, content);
+		} else if (type === FrameType.CancellationReply) {
+			this.#takeCancellationReply(way, content.toString('utf8'));
+		}
 	}
 
 	#takeAnswer(way: Way, content: Buffer): void {
--- a/packages/node/src/peers-server.ts
+++ b/packages/node/src/peers-server.ts
@@ -121,15 +121,11 @@
 	}
 
 	#take(link: PeerLink, texts: TextReceiver, {type, content}: Frame): void {
-		const handlers: Readonly<Partial<Record<FrameType, () => void>>> = {
-			[FrameType.Call]: () => {
-				this.#takeCall(link, texts, content);
-			},
-			[FrameType.Cancellation]: () => {
-				this.#takeCancellation(link, content.toString('utf8'));
-			},
-		};
-		handlers[type]?.();
+		if (type === FrameType.Call) {
+			this.#takeCall(link, texts, content);
+		} else if (type === FrameType.Cancellation) {
+			this.#takeCancellation(link, content.toString('utf8'));
+		}
 	}
 
 	#takeCall(link: PeerLink, texts: TextReceiver, content: Buffer): void {
