Notice a change of the settings file without a signal

Change: the node looks at the file every two seconds and tells once what a change means; the signal still has it told always. A file that is away for a moment is no error, since it may be being replaced.

--- a/packages/node/src/run.ts
+++ b/packages/node/src/run.ts
@@ -8,8 +8,9 @@
 import {ExitCode, runCommandLine, version} from '@laburnumspool/manifest';
 import {cac} from 'cac';
 import {ownDeployment, startDaemon, type Deployment} from './daemon.js';
-import {LogPart, openLog, type PartLog} from './logs.js';
-import {readSettings, type Settings} from './settings.js';
+import {LogPart, openLog} from './logs.js';
+import {settingsLookMilliseconds, SettingsWatch} from './settings-watch.js';
+import {readSettings} from './settings.js';
 
 type Options = {readonly settings?: string; readonly check?: boolean};
 
@@ -46,7 +47,13 @@
 	const openPartLog = openLog(settings.logLevel, settings.logFormat, settings.name);
 	const log = openPartLog(LogPart.Node);
 	const daemon = await startDaemon(settings, openPartLog, deployment);
-	reloadOnSignal(options.settings, settings, log);
+	const watch = new SettingsWatch(options.settings, settings, log);
+	setInterval(() => {
+		watch.look();
+	}, settingsLookMilliseconds);
+	process.on('SIGHUP', () => {
+		watch.readAgain();
+	});
 	const superseded = daemon.mustStop.then(reason => {
 		log.error(`stops: ${reason}`);
 		return undefined;
@@ -81,15 +88,3 @@
 		});
 	});
 }
-
-/** The settings say where the node stands and listens, which a running process cannot change; a change is checked and told. */
-function reloadOnSignal(file: string, settings: Settings, log: PartLog): void {
-	process.on('SIGHUP', () => {
-		try {
-			const isSame = JSON.stringify(readSettings(file)) === JSON.stringify(settings);
-			log.info(isSame ? 'read its settings again and found no change' : 'read changed settings; they hold from the next start', {event: 'settings-read'});
-		} catch (error) {
-			log.error(`goes on with its settings: ${error instanceof Error ? error.message : String(error)}`, {event: 'settings-read'});
-		}
-	});
-}
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -125,7 +125,12 @@
  * const settings = readSettings('node.yaml');
  */
 export function readSettings(file: string): Settings {
-	return checkDocument(parseYaml(readText(file), file, ErrorKind.InvalidSettings), settingsSchema, ErrorKind.InvalidSettings);
+	return parseSettings(file, readText(file));
+}
+
+/** Checks the text of a settings file; throws as `readSettings` does. */
+export function parseSettings(file: string, text: string): Settings {
+	return checkDocument(parseYaml(text, file, ErrorKind.InvalidSettings), settingsSchema, ErrorKind.InvalidSettings);
 }
 
 /** Checks settings that are no file; throws `invalid-settings`. */
