Do not let a silent store hold up a planned stop

Cause: a node gives its lease back as the last thing of a stop and waited for the store's answer, which may take 1.5 s and a second more to connect. With calls in flight to the end of the bound (4 s, farewell 0.6 s) that passes the 6 s after which the platform kills it.

Change: the end of a stop waits 0.4 s for the store; a lease that is not given back ends by itself.

--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -36,6 +36,8 @@
 const linkWatchMilliseconds = 200;
 const stopPollMilliseconds = 20;
 const farewellMilliseconds = 600;
+/** Longest wait for the store to take the lease back, which ends by itself otherwise; the platform ends a slow stop. */
+const closeMilliseconds = 400;
 const startPollMilliseconds = 20;
 const progressMilliseconds = 2000;
 
@@ -193,7 +195,7 @@
 		const isFinished = core.core.mayStop && callersServer.openCount === 0;
 		core.post({type: CoreMessageType.Left});
 		await delay(farewellMilliseconds);
-		await close();
+		await Promise.race([close(), delay(closeMilliseconds)]);
 		return isFinished;
 	};
 
