Take no answer whose end cannot be told from a reset

When the last bytes and the reset come together, the runtime reports the end of the connection and not its reset, so the client's own error listener never hears of it.

Ruled out: mixing answers of two requests (the body that came was the right one's beginning), chunked and sized answers (all cases were without a length; cut ones of the other two are refused by tests).

Change: an answer that does not say itself where it ends is no answer, 204 and 304 apart. The note of connection failures is gone with it, and its test is replaced by a stricter one: the same reset, and an answer that ends in order, are both refused. What it costs: whole answers of that form are refused too; the price is an upstream's answers of a form that HTTP/1.1 servers rarely choose, against half answers passed for whole ones.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {buildConnector, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 
 /** How an exchange failed. */
 export enum ExchangeFailure {
@@ -34,48 +34,6 @@
 	readonly timeoutMilliseconds: number;
 };
 
-/**
- * Tells a connection that ends from one that fails. The library takes an answer without a length for whole in both cases.
- *
- * @example
- * const failures = new ConnectionFailures(1000);
- * const pool = new Pool(url, {connect: failures.connect});
- */
-export class ConnectionFailures {
-	readonly connect: buildConnector.connector;
-	#isTelling = false;
-
-	constructor(timeoutMilliseconds: number) {
-		const connect = buildConnector({timeout: timeoutMilliseconds});
-		this.connect = (options, callback) => {
-			connect(options, (error, socket) => {
-				if (error !== null) {
-					callback(error, null);
-					return;
-				}
-
-				socket.on('error', () => {
-					this.#note();
-				});
-				callback(null, socket);
-			});
-		};
-	}
-
-	/** Whether the failure of a connection is being told to its exchange at this moment. */
-	get isTelling(): boolean {
-		return this.#isTelling;
-	}
-
-	/** This listener is the first of the connection, and the library's own runs in the same turn. */
-	#note(): void {
-		this.#isTelling = true;
-		queueMicrotask(() => {
-			this.#isTelling = false;
-		});
-	}
-}
-
 /** An exchange under way. */
 export type Exchange = {
 	/** Closes the connection; the other side sees that nobody waits any longer. */
@@ -88,8 +46,8 @@
  * @example
  * const exchange = startExchange(pool, request, result => console.log(result));
  */
-export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void, failures?: ConnectionFailures): Exchange {
-	const handler = new ExchangeHandler(request.maximumBytes, report, failures);
+export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void): Exchange {
+	const handler = new ExchangeHandler(request.maximumBytes, report);
 	const {origin, method, path, headers, body, timeoutMilliseconds} = request;
 	pool.dispatch({
 		...(origin === undefined ? {} : {origin}),
@@ -110,7 +68,6 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler {
 	readonly #maximumBytes: number;
 	readonly #report: (result: ExchangeResult) => void;
-	readonly #failures: ConnectionFailures | undefined;
 	readonly #chunks: Buffer[] = [];
 	#controller: Dispatcher.DispatchController | undefined;
 	#isAborted = false;
@@ -120,10 +77,9 @@
 	#headers: string[] = [];
 	#length = 0;
 
-	constructor(maximumBytes: number, report: (result: ExchangeResult) => void, failures: ConnectionFailures | undefined) {
+	constructor(maximumBytes: number, report: (result: ExchangeResult) => void) {
 		this.#maximumBytes = maximumBytes;
 		this.#report = report;
-		this.#failures = failures;
 	}
 
 	abort(): void {
@@ -162,11 +118,6 @@
 	}
 
 	onResponseEnd(): void {
-		if (this.#failures?.isTelling === true) {
-			this.onResponseError();
-			return;
-		}
-
 		const body = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks, this.#length);
 		this.#reportOnce({
 			success: true, status: this.#status, headers: this.#headers, body,
--- a/packages/node/src/tests/upstream-client.test.ts
+++ b/packages/node/src/tests/upstream-client.test.ts
@@ -133,9 +133,16 @@
 	t.equal(await call(3), '200 r3');
 });
 
-test('an answer that is cut or unsigned is none', async t => {
+test('an answer that is cut, reset, unsigned or without a known end is none', async t => {
 	const ends: Readonly<Record<string, (socket: Socket) => void>> = {
 		r1: socket => socket.end('HTTP/1.1 200 OK\r\nrequest-id: r1\r\nsignature: s\r\ncontent-length: 10\r\n\r\nabc'),
+		r2(socket) {
+			socket.write('HTTP/1.1 200 OK\r\nrequest-id: r2\r\nsignature: s\r\n\r\nabc', () => {
+				setImmediate(() => {
+					socket.resetAndDestroy();
+				});
+			});
+		},
 		r3: socket => socket.end('HTTP/1.1 200 OK\r\nrequest-id: r3\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n'),
 		r4: socket => socket.write('HTTP/1.1 200 OK\r\nrequest-id: r4\r\ncontent-length: 3\r\n\r\nabc'),
 		r5: socket => socket.end('HTTP/1.1 200 OK\r\nrequest-id: r5\r\nsignature: s\r\n\r\nabc'),
@@ -144,8 +151,8 @@
 	const {call} = await start(t, (requestId, socket) => {
 		ends[requestId]!(socket);
 	});
-	t.same([await call(1), await call(3), await call(4)], Array.from({length: 3}, () => UpstreamFailure.Broken));
-	t.equal(await call(5), '200 abc', 'an answer without a length may end with its connection');
+	t.same([await call(1), await call(2), await call(3), await call(4)], Array.from({length: 4}, () => UpstreamFailure.Broken));
+	t.equal(await call(5), UpstreamFailure.Broken, 'an end that cannot be told from a reset');
 	t.equal(await call(6), UpstreamFailure.Broken);
 });
 
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -9,7 +9,7 @@
 import {Pool} from 'undici';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
-	ConnectionFailures, ExchangeFailure, startExchange, type Exchange, type ExchangeResult,
+	ExchangeFailure, startExchange, type Exchange, type ExchangeResult,
 } from './http-client.js';
 import {filterHeaders, findHeader, HeaderName} from './http-messages.js';
 import type {PartLog} from './logs.js';
@@ -19,6 +19,7 @@
 const extraMilliseconds = 1000;
 const longestMilliseconds = 600_000;
 const misdirectedStatus = 421;
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 const failures: Readonly<Record<ExchangeFailure, UpstreamFailure>> = {
 	[ExchangeFailure.NotConnected]: UpstreamFailure.NotConnected,
@@ -42,7 +43,6 @@
 	/** Headers of answers that are for the node, or that the caller's node sets. */
 	readonly #ownHeaders: ReadonlySet<string>;
 	readonly #open = new Map<string, Exchange>();
-	readonly #failures = new ConnectionFailures(connectMilliseconds);
 	#pool: Pool | undefined;
 	#poolKey = '';
 	#instance: string | undefined;
@@ -79,7 +79,7 @@
 
 		const previous = this.#pool;
 		this.#poolKey = key;
-		this.#pool = new Pool(`http://${address}`, {connections: connectionCount, pipelining: 1, connect: this.#failures.connect});
+		this.#pool = new Pool(`http://${address}`, {connections: connectionCount, pipelining: 1, connectTimeout: connectMilliseconds});
 		this.#log.info(`${service} ${instance ?? ''} is at ${address} with ${slots} slots`);
 		void previous?.close();
 	}
@@ -114,7 +114,7 @@
 		}, result => {
 			this.#open.delete(callId);
 			this.#report(effect, result);
-		}, this.#failures);
+		});
 		this.#open.set(callId, exchange);
 	}
 
@@ -144,6 +144,11 @@
 			return UpstreamFailure.Refused;
 		}
 
+		if (!isEndKnown(status, headers)) {
+			this.#log.warn(`the answer to ${callId} has no length and ended with its connection, which may have been cut`);
+			return UpstreamFailure.Broken;
+		}
+
 		const repeated = findHeader(headers, requestIdName);
 		if (repeated !== undefined && repeated !== requestId) {
 			this.#log.warn(`the answer to ${callId} belongs to request ${repeated} in place of ${requestId}`);
@@ -154,3 +159,11 @@
 		return isUnsigned ? UpstreamFailure.Broken : undefined;
 	}
 }
+
+/**
+ * Whether an answer says itself where it ends. Where only its connection's end does, the runtime reports a reset that
+ * comes together with the last bytes as an end, so half an answer would pass for a whole one.
+ */
+function isEndKnown(status: number, headers: readonly string[]): boolean {
+	return bodilessStatuses.has(status) || findHeader(headers, 'content-length') !== undefined || findHeader(headers, 'transfer-encoding') !== undefined;
+}
