Drop what the keyless way of at-most-once work left dead

Cause: since at-most-once work without a key needs no claim, no node makes a key of its own. The mark for such keys was never true any more, yet entry and locator still asked for it; the maker of keys was handed from the daemon through the core and called by nobody. Beside it stood a log of the callers' server that nobody wrote to, the semantics in the dispatch effect and a getter of links that nobody read, and a comment on cancellation replies that told of JSON.

Change: mark, maker, the node's dependency on uuid, log part, field and getter are gone; the comment says what is sent.

Behaviour unchanged. Tests of core, benchmarks and node pass as before; the one fixture that named the dropped field lost it.

--- a/benchmarks/src/virtual-system.ts
+++ b/benchmarks/src/virtual-system.ts
@@ -128,7 +128,6 @@
 			wallClock: () => wallStart + this.#now,
 			random: this.#random,
 			newActionId: () => this.#randomText(traceDigits),
-			newKey: () => `made-${this.#randomText(16)}`,
 			membershipTimes: {...defaultMembershipTimes, probeIntervalMilliseconds: 200, suspicionMilliseconds: 600},
 			claimBounds: {maximumClaims: 100_000, maximumAnswerBytes: 10_000_000},
 			withoutStoreMilliseconds: this.#definition.withoutStoreMilliseconds ?? 600_000,
--- a/packages/core/src/entry/entry-call.ts
+++ b/packages/core/src/entry/entry-call.ts
@@ -29,8 +29,6 @@
 	readonly account: RetryAccount;
 	/** Key of at-most-once work. */
 	readonly key: string | undefined;
-	/** Whether the entry made the key itself, so that no earlier try can exist. */
-	readonly keyIsOwn: boolean;
 	readonly request: RequestPayload;
 };
 
--- a/packages/core/src/entry/entry.ts
+++ b/packages/core/src/entry/entry.ts
@@ -329,8 +329,7 @@
 			return Outcome.Unknown;
 		}
 
-		const needsConfirmation = state.request.key !== undefined && !state.request.keyIsOwn;
-		return needsConfirmation && !state.lastConfirmed ? Outcome.Unknown : Outcome.NotRun;
+		return state.request.key !== undefined && !state.lastConfirmed ? Outcome.Unknown : Outcome.NotRun;
 	}
 
 	#answer(state: EntryState, outcome: Outcome, error: CallError | undefined, frame?: AnswerFrame): EntryEffect[] {
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -188,7 +188,6 @@
 			type: NodeEffectType.Dispatch,
 			callId: frame.callId,
 			requestId: frame.requestId,
-			semantics: frame.semantics,
 			request: frame.request,
 			...formatTraceContext(context, spanId, frame.callId),
 			timeLeftMilliseconds,
--- a/packages/core/src/node/caller-requests.ts
+++ b/packages/core/src/node/caller-requests.ts
@@ -31,8 +31,6 @@
 	readonly enclosingOfRequest: (requestId: string) => EnclosingCall | undefined;
 	/** Makes a trace id of 32 hexadecimal digits. */
 	readonly newActionId: () => string;
-	/** Makes a key that carries its time. */
-	readonly newKey: () => string;
 };
 
 export type RequestResult
@@ -76,7 +74,7 @@
 			priority: enclosing?.frame.priority ?? priorityOf(importance, cohortOf(action.actionId)),
 			deadline: now + allowedTime(policy.waitMilliseconds, caller.timeoutMilliseconds, enclosingMilliseconds),
 			account: accountFor(context, enclosing, surroundings.manifest),
-			...keyFor(caller, policy, enclosing, surroundings),
+			key: keyFor(caller, policy, enclosing, surroundings),
 			request: caller.request,
 		},
 	};
@@ -125,18 +123,13 @@
 	return new RetryAccount(context?.enclosingCall === undefined ? manifest.retriesPerAction : 0);
 }
 
-function keyFor(caller: CallerRequest, policy: RequestPolicy, enclosing: EnclosingCall | undefined, surroundings: RequestSurroundings): Pick<EntryRequest, 'key' | 'keyIsOwn'> {
+function keyFor(caller: CallerRequest, policy: RequestPolicy, enclosing: EnclosingCall | undefined, surroundings: RequestSurroundings): string | undefined {
 	const isKeyless = policy.semantics === Semantics.Idempotent || surroundings.routes !== undefined;
 	if (isKeyless) {
-		return {key: undefined, keyIsOwn: false};
+		return undefined;
 	}
 
-	if (caller.key !== undefined) {
-		return {key: caller.key, keyIsOwn: false};
-	}
-
-	const derived = enclosing === undefined ? undefined : derivedKey(caller, policy, enclosing, surroundings.manifest);
-	return {key: derived, keyIsOwn: false};
+	return caller.key ?? (enclosing === undefined ? undefined : derivedKey(caller, policy, enclosing, surroundings.manifest));
 }
 
 /** A retry of the enclosing call makes the same inner call again, so the key comes from the action. */
--- a/packages/core/src/node/effects.ts
+++ b/packages/core/src/node/effects.ts
@@ -5,7 +5,6 @@
  */
 import type {EventDetails, NodeEvent} from '../events/event.js';
 import type {HybridTime} from '../events/hybrid-clock.js';
-import type {Semantics} from '../manifest/request-policy.js';
 import type {Member} from '../membership/member.js';
 import type {Address, GossipMessage} from '../membership/messages.js';
 import type {
@@ -88,7 +87,7 @@
 		| {readonly type: NodeEffectType.SendCancel; readonly to: Member; readonly callId: string}
 		| {readonly type: NodeEffectType.AnswerCaller; readonly entryId: number; readonly answer: CallerAnswer}
 		| {readonly type: NodeEffectType.UpstreamAnnounced; readonly announcement: Announcement}
-		| {readonly type: NodeEffectType.Dispatch; readonly callId: string; readonly requestId: string; readonly semantics: Semantics; readonly request: RequestPayload; readonly traceparent: string; readonly tracestate: string; readonly timeLeftMilliseconds: number; readonly answerBytesLimit: number}
+		| {readonly type: NodeEffectType.Dispatch; readonly callId: string; readonly requestId: string; readonly request: RequestPayload; readonly traceparent: string; readonly tracestate: string; readonly timeLeftMilliseconds: number; readonly answerBytesLimit: number}
 		| {readonly type: NodeEffectType.CancelDispatch; readonly callId: string}
 		| {readonly type: NodeEffectType.SendGossip; readonly to: Address; readonly message: GossipMessage; readonly clock: HybridTime}
 		| {readonly type: NodeEffectType.ExchangeMembers; readonly to: Member}
--- a/packages/core/src/node/locator.ts
+++ b/packages/core/src/node/locator.ts
@@ -58,7 +58,7 @@
 	if (lookup.type !== PrimaryLookupType.Found) {
 		return {
 			type: LocateType.Refused,
-			outcome: request.keyIsOwn ? Outcome.NotRun : Outcome.Unknown,
+			outcome: Outcome.Unknown,
 			error: {kind: ErrorKind.KeyUncertain, detail: `The holders of the key's range of ${request.service} are gone`},
 		};
 	}
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -47,7 +47,6 @@
 	/** Evenly distributed numbers in [0, 1). */
 	readonly random: () => number;
 	readonly newActionId: () => string;
-	readonly newKey: () => string;
 	readonly membershipTimes: MembershipTimes;
 	readonly claimBounds: ClaimBounds;
 	readonly withoutStoreMilliseconds: number;
@@ -348,7 +347,6 @@
 			enclosing: callId => this.#flow.serving.enclosing(callId),
 			enclosingOfRequest: requestId => this.#flow.serving.enclosingOfRequest(requestId),
 			newActionId: this.#definition.newActionId,
-			newKey: this.#definition.newKey,
 		}, now);
 		if (!result.success) {
 			return [this.#answerCaller(caller.entryId, Outcome.NotRun, result.error)];
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -16,7 +16,6 @@
 import {
 	filterHeaders, HeaderName, readBody, sendClientError, sendProblem, toCallError,
 } from './http-messages.js';
-import type {PartLog} from './logs.js';
 import {isOwnPath, type OwnInterface} from './own-interface.js';
 import type {HeaderNames} from './settings.js';
 
@@ -25,7 +24,6 @@
 
 export type CallersServerDefinition = {
 	readonly core: CoreTask;
-	readonly log: PartLog;
 	readonly requestBytes: number;
 	readonly openRequests: number;
 	readonly slowSenderMilliseconds: number;
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -13,7 +13,6 @@
 import {
 	openHttpStore, parseShipped, toRevision, type Store, type StoreEntry,
 } from '@laburnumspool/manifest';
-import {v7 as newTimedKey} from 'uuid';
 import {createActionIds} from './action-ids.js';
 import {CallersServer} from './callers-server.js';
 import {CoreMessageType, CoreTask} from './core-task.js';
@@ -101,7 +100,6 @@
 	const peersServer = new PeersServer({core, ...bounds});
 	const callersServer = new CallersServer({
 		core,
-		log: openPartLog(LogPart.Callers),
 		openRequests: settings.limits.openRequests,
 		headers: settings.headers,
 		service: settings.upstream?.service,
@@ -256,7 +254,6 @@
 		wallClock: () => Date.now(),
 		random: Math.random,
 		newActionId: createActionIds(),
-		newKey: () => newTimedKey(),
 		membershipTimes: {
 			probeIntervalMilliseconds: settings.membership.probeMilliseconds,
 			suspicionMilliseconds: settings.membership.suspicionMilliseconds,
--- a/packages/node/src/peer-link.ts
+++ b/packages/node/src/peer-link.ts
@@ -64,10 +64,6 @@
 		});
 	}
 
-	get isClosed(): boolean {
-		return this.#isClosed;
-	}
-
 	/** Whether so much waits for the other side that more had better go elsewhere. */
 	get isCongested(): boolean {
 		return this.#socket.writableLength > congestedBytes;
--- a/packages/node/src/tests/upstream-client.test.ts
+++ b/packages/node/src/tests/upstream-client.test.ts
@@ -85,7 +85,6 @@
 			type: NodeEffectType.Dispatch,
 			callId: `n.1.${number}`,
 			requestId: `r${number}`,
-			semantics: 'idempotent',
 			request: {
 				method: 'GET', target: '/x', headers: [], body: Buffer.alloc(0), digest: '',
 			},
@@ -93,7 +92,7 @@
 			tracestate: 's',
 			timeLeftMilliseconds: 60_000,
 			answerBytesLimit: 1000,
-		} as NodeEffect);
+		});
 	};
 
 	return {
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -15,7 +15,7 @@
 	Answer = 2,
 	/** Gives a call up; the content is its id. */
 	Cancellation = 3,
-	/** Says what became of a cancelled call, as JSON. */
+	/** Says what became of a cancelled call: the result and the id, with a space between. */
 	CancellationReply = 4,
 	/** Asks for a sign of life. */
 	Ping = 5,
