Read JSON from outside in one place

Change: the core has the two readers, and the files name kind and detail. Details are the same words as before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * from './events/event.js';
 export * from './events/hybrid-clock.js';
 export * from './importance.js';
+export * from './json.js';
 export * from './manifest/adoption.js';
 export * from './manifest/model.js';
 export * from './manifest/routes.js';
--- /dev/null
+++ b/packages/core/src/json.ts
@@ -0,0 +1,29 @@
+/**
+ * Text from outside as JSON.
+ *
+ * @module
+ */
+import {LaburnumspoolError, type ErrorKind} from './errors.js';
+
+/**
+ * Reads JSON; throws an error of the given kind with the given detail.
+ *
+ * @example
+ * parseJson('{"slots": 140}', ErrorKind.Malformed, 'body: not JSON'); // {slots: 140}
+ */
+export function parseJson(text: string, kind: ErrorKind, detail: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch (error) {
+		throw new LaburnumspoolError(kind, detail, {cause: error});
+	}
+}
+
+/** Reads JSON; undefined when the text is none, for readers that check what they get in any case. */
+export function parseJsonOrNothing(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
--- a/packages/manifest/src/shipped-manifest.ts
+++ b/packages/manifest/src/shipped-manifest.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import {createHash} from 'node:crypto';
-import {ErrorKind, LaburnumspoolError, type Revision} from '@laburnumspool/core';
+import {
+	ErrorKind, LaburnumspoolError, parseJsonOrNothing, type Revision,
+} from '@laburnumspool/core';
 import * as valibot from 'valibot';
 import {parseManifest} from './manifest-document.js';
 import type {StoreEntry} from './store.js';
@@ -27,7 +29,7 @@
 
 /** Reads what the store holds; throws `invalid-manifest`. */
 export function parseShipped(entry: StoreEntry): ShippedManifest {
-	const result = valibot.safeParse(shippedSchema, parseJson(entry.value));
+	const result = valibot.safeParse(shippedSchema, parseJsonOrNothing(entry.value));
 	if (!result.success || digestOf(result.output.document) !== result.output.digest) {
 		throw new LaburnumspoolError(ErrorKind.InvalidManifest, `Revision ${entry.version} in the store is not a whole manifest`);
 	}
@@ -39,11 +41,3 @@
 export function toRevision(number: number, document: string): Revision {
 	return {number, document, manifest: parseManifest(document, `revision ${number}`)};
 }
-
-function parseJson(text: string): unknown {
-	try {
-		return JSON.parse(text);
-	} catch {
-		return undefined;
-	}
-}
--- a/packages/node/src/announcements.ts
+++ b/packages/node/src/announcements.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	AnnouncedState, ErrorKind, LaburnumspoolError, type Announcement,
+	AnnouncedState, ErrorKind, LaburnumspoolError, parseJson, type Announcement,
 } from '@laburnumspool/core';
 import * as valibot from 'valibot';
 
@@ -38,7 +38,7 @@
  * parseAnnouncement('{"service":"catalogue","address":"127.0.0.1:8001","slots":140,"connections":940,"state":"ready"}');
  */
 export function parseAnnouncement(text: string, instance?: string): Announcement {
-	const document = parseJson(text);
+	const document = parseJson(text, ErrorKind.Malformed, 'body: not JSON');
 	const result = valibot.safeParse(announcementSchema, instance === undefined ? document : {...document as object, instance});
 	if (!result.success) {
 		const mistakes = result.issues.map(issue => `${valibot.getDotPath(issue) ?? 'body'}: ${issue.message}`);
@@ -48,11 +48,3 @@
 	const {load, ...announcement} = result.output;
 	return {...announcement, load};
 }
-
-function parseJson(text: string): unknown {
-	try {
-		return JSON.parse(text);
-	} catch (error) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, 'body: not JSON', {cause: error});
-	}
-}
--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -6,7 +6,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	ErrorKind, Importance, LaburnumspoolError, Outcome, parseCallId, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
+	ErrorKind, Importance, LaburnumspoolError, Outcome, parseCallId, parseJson, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
 } from '@laburnumspool/core';
 import type {TextReceiver, TextSender, WireText} from './text-table.js';
 
@@ -243,7 +243,7 @@
 
 /** Each call passes here, so the checks are plain tests and no schema. */
 function parseHead<Head extends readonly unknown[]>(head: string, checks: readonly Check[]): Head {
-	const values = parseJson(head);
+	const values = parseJson(head, ErrorKind.Malformed, 'The head of the message is not JSON');
 	if (!Array.isArray(values) || values.length !== checks.length || !checks.every((check, index) => check(values[index]))) {
 		throw new LaburnumspoolError(ErrorKind.Malformed, 'The head of the message lacks a value, or has one of another type');
 	}
@@ -299,11 +299,3 @@
 function isTexts(value: unknown): value is string[] {
 	return Array.isArray(value) && value.every(item => typeof item === 'string');
 }
-
-function parseJson(text: string): unknown {
-	try {
-		return JSON.parse(text);
-	} catch (error) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, 'The head of the message is not JSON', {cause: error});
-	}
-}
--- a/packages/protocol/src/view-codec.ts
+++ b/packages/protocol/src/view-codec.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	ErrorKind, LaburnumspoolError, Liveness, UpstreamState,
+	ErrorKind, LaburnumspoolError, Liveness, parseJson, UpstreamState,
 } from '@laburnumspool/core';
 import * as valibot from 'valibot';
 
@@ -56,7 +56,7 @@
 }
 
 function parse<Schema extends valibot.GenericSchema>(schema: Schema, text: string): valibot.InferOutput<Schema> {
-	const result = valibot.safeParse(schema, parseJson(text));
+	const result = valibot.safeParse(schema, parseJson(text, ErrorKind.Malformed, 'The view is not JSON'));
 	if (!result.success) {
 		const [issue] = result.issues;
 		throw new LaburnumspoolError(ErrorKind.Malformed, `${valibot.getDotPath(issue) ?? 'view'}: ${issue.message}`);
@@ -64,11 +64,3 @@
 
 	return result.output;
 }
-
-function parseJson(text: string): unknown {
-	try {
-		return JSON.parse(text);
-	} catch (error) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, 'The view is not JSON', {cause: error});
-	}
-}
