Send calls to either store through one client

Cause: the adapter to the platform's service repeated the exchange of the adapter to the project's own store: pool, bounds on the wait, JSON, every failure as store-unavailable, and the check of status and shape.

Change: JsonClient and readReply stand in the manifest package; an adapter gives its bounds and how it reads a body, and keeps paths, names and words of its own. The own store still takes text that is no JSON for no answer, the platform's still judges a refusal by its status.

--- a/packages/manifest/src/index.ts
+++ b/packages/manifest/src/index.ts
@@ -6,6 +6,7 @@
 export * from './command-line.js';
 export * from './document.js';
 export * from './http-store.js';
+export * from './json-client.js';
 export * from './manifest-document.js';
 export * from './ship.js';
 export * from './shipped-manifest.js';
