State the bounds of attempts and waits once

Cause: routes, the second form of the manifest, repeated the bound on attempts (16) and on waits (600,000 ms) of the first.

Change: both forms take them from the request policy. Values unchanged; tests of the core pass.

--- a/packages/core/src/manifest/request-policy.ts
+++ b/packages/core/src/manifest/request-policy.ts
@@ -12,9 +12,13 @@
 	AtMostOnce = 'at-most-once',
 }
 
-const maximumWaitMilliseconds = 600_000;
+export const maximumWaitMilliseconds = 600_000;
+const maximumAttempts = 16;
 
 export const wholeNumber = (minimum: number, maximum: number) => valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(minimum), valibot.maxValue(maximum));
+
+/** Upstreams to which one call may be sent. */
+export const attempts = valibot.optional(wholeNumber(1, maximumAttempts));
 export const name = valibot.pipe(valibot.string(), valibot.regex(/^[a-z][a-z\d-]{0,62}$/u, 'Expected a name of lower-case letters, digits and hyphens'));
 
 const callSchema = valibot.strictObject({
@@ -32,8 +36,7 @@
 	waitMilliseconds: wholeNumber(1, maximumWaitMilliseconds),
 	/** Time within which an answer has its full worth. */
 	objectiveMilliseconds: valibot.optional(wholeNumber(1, maximumWaitMilliseconds)),
-	/** Upstreams to which one call may be sent. */
-	attempts: valibot.optional(wholeNumber(1, 16)),
+	attempts,
 	guaranteedShare: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0), valibot.maxValue(0.5)), 0),
 	/** Left out, all but the least important work may leave its region. */
 	crossRegion: valibot.optional(valibot.boolean()),
--- a/packages/core/src/manifest/routes.ts
+++ b/packages/core/src/manifest/routes.ts
@@ -5,17 +5,17 @@
  */
 import * as valibot from 'valibot';
 import {Importance} from '../importance.js';
-import {Semantics, type RequestPolicy} from './request-policy.js';
+import {
+	attempts, maximumWaitMilliseconds, Semantics, type RequestPolicy,
+} from './request-policy.js';
 
-const maximumMilliseconds = 600_000;
 const maximumWeight = 1_000_000;
-const maximumAttempts = 16;
 
 /** Time a route gives when it states none, in milliseconds. */
 const standardWaitMilliseconds = 60_000;
 
 const text = valibot.pipe(valibot.string(), valibot.minLength(1));
-const milliseconds = valibot.pipe(valibot.number(), valibot.minValue(1), valibot.maxValue(maximumMilliseconds));
+const milliseconds = valibot.pipe(valibot.number(), valibot.minValue(1), valibot.maxValue(maximumWaitMilliseconds));
 const prefix = valibot.pipe(valibot.string(), valibot.startsWith('/'), valibot.endsWith('/'));
 
 const splitSchema = valibot.pipe(valibot.array(valibot.object({
@@ -34,8 +34,7 @@
 	objectiveMilliseconds: valibot.optional(milliseconds),
 	/** Urgency; 0 goes first. */
 	rank: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0)), 0),
-	/** Upstreams to which one call may be sent. */
-	attempts: valibot.optional(valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(1), valibot.maxValue(maximumAttempts))),
+	attempts,
 	service: valibot.optional(text),
 	split: valibot.optional(splitSchema),
 });
@@ -77,7 +76,7 @@
 		return undefined;
 	}
 
-	const {host, semantics, waitMilliseconds, objectiveMilliseconds, attempts} = document;
+	const {host, semantics, waitMilliseconds, objectiveMilliseconds} = document;
 	return {
 		name,
 		host,
@@ -94,7 +93,7 @@
 			customer: true,
 			calls: [],
 			...(objectiveMilliseconds === undefined ? {} : {objectiveMilliseconds}),
-			...(attempts === undefined ? {} : {attempts}),
+			...(document.attempts === undefined ? {} : {attempts: document.attempts}),
 		},
 	};
 }
