Share members, silent logs and free ports between tests

Cause: three tests of the core each built the same member, two the same at-most-once work, and three tests of the node the same log and search for a port.

Change: fixtures beside the tests. Values that a test had of its own it still gives; no assertion is touched.

--- a/packages/core/src/tests/once.test.ts
+++ b/packages/core/src/tests/once.test.ts
@@ -1,42 +1,8 @@
 import {test} from 'tap';
 import {
-	createRecord, ErrorKind, holderKey, Liveness, Once, OnceEffectType, OpenResultType, returnsOf, UpstreamState, WriteResultType, type Member, type OnceCall, type OnceEffect, type VersionedRecord,
+	createRecord, ErrorKind, holderKey, Liveness, OnceEffectType, OpenResultType, returnsOf, WriteResultType, type OnceCall, type OnceEffect, type VersionedRecord,
 } from '../index.js';
-
-const limitMilliseconds = 1500;
-
-function member(name: string, liveness = Liveness.Alive): Member {
-	return {
-		name,
-		incarnation: 1,
-		version: 1,
-		location: {region: 'r', failureDomain: name},
-		host: name,
-		callersPort: 1,
-		peersPort: 2,
-		controlPort: 3,
-		service: 's',
-		state: UpstreamState.Ready,
-		slots: 4,
-		liveness,
-	};
-}
-
-function createOnce(name: string, members: readonly Member[]): Once {
-	const once = new Once({
-		own: {name, incarnation: 1},
-		bounds: {maximumClaims: 2, maximumAnswerBytes: 1000},
-		wallClock: () => 0,
-		random: () => 0.5,
-		rememberForMilliseconds: () => 60_000,
-		clockErrorMilliseconds: 10,
-		longestCallMilliseconds: 1000,
-		withoutStoreMilliseconds: limitMilliseconds,
-	});
-	once.setService('s', true);
-	once.setMembers(members);
-	return once;
-}
+import {createMember, createOnce} from './fixtures.js';
 
 const call = (number: number): OnceCall => ({
 	callId: `c${number}`, key: `key-${number}`, digest: 'd', deadline: 100_000,
@@ -45,9 +11,9 @@
 const writesOf = (effects: readonly OnceEffect[]): VersionedRecord[] => effects.flatMap(effect => effect.type === OnceEffectType.WriteRecord ? [{version: effect.expectedVersion + 1, record: effect.record}] : []);
 
 test('a holder whose lease had lapsed works again only after a write of its own', async t => {
-	const once = createOnce('p', [member('p')]);
+	const once = createOnce('p', [createMember('p')]);
 	once.renewed(0);
-	once.recordSeen({version: 1, record: createRecord('s', [member('p')])}, 0);
+	once.recordSeen({version: 1, record: createRecord('s', [createMember('p')])}, 0);
 	t.equal(once.open(call(1), 10).type, OpenResultType.Proceed);
 	once.leaseLapsed();
 	once.renewed(1000);
@@ -60,8 +26,8 @@
 
 test('a range is not adopted beside a holder that has come back in between', async t => {
 	const holder = {name: 'p', incarnation: 1};
-	const first = createRecord('s', [member('p')]);
-	const heir = createOnce('t', [member('p', Liveness.Dead), member('t')]);
+	const first = createRecord('s', [createMember('p')]);
+	const heir = createOnce('t', [createMember('p', {liveness: Liveness.Dead}), createMember('t')]);
 	heir.renewed(0);
 	heir.recordSeen({version: 1, record: first}, 0);
 	heir.holdersRead([holder], new Set(), 0);
@@ -76,9 +42,9 @@
 
 test('a range whose holders\' leases are there is never adopted', async t => {
 	const holder = {name: 'p', incarnation: 1};
-	const heir = createOnce('t', [member('p', Liveness.Dead), member('t')]);
+	const heir = createOnce('t', [createMember('p', {liveness: Liveness.Dead}), createMember('t')]);
 	heir.renewed(0);
-	heir.recordSeen({version: 1, record: createRecord('s', [member('p')])}, 0);
+	heir.recordSeen({version: 1, record: createRecord('s', [createMember('p')])}, 0);
 	heir.holdersRead([holder], new Set(), 0);
 	heir.holdersRead([holder], new Set([holderKey(holder)]), 1000);
 	heir.holdersRead([holder], new Set(), 2000);
@@ -86,9 +52,9 @@
 });
 
 test('at the bound on memory new keys are refused, and no claim is dropped', async t => {
-	const once = createOnce('p', [member('p')]);
+	const once = createOnce('p', [createMember('p')]);
 	once.renewed(0);
-	once.recordSeen({version: 1, record: createRecord('s', [member('p')])}, 0);
+	once.recordSeen({version: 1, record: createRecord('s', [createMember('p')])}, 0);
 	const results = [1, 2, 3].map(number => once.open(call(number), 10));
 	t.same(results.map(result => result.type), [OpenResultType.Proceed, OpenResultType.Proceed, OpenResultType.Refused]);
 	t.match(results[2], {error: {kind: ErrorKind.ClaimsFull}});
@@ -96,10 +62,10 @@
 });
 
 test('a record of a lower version changes nothing', async t => {
-	const once = createOnce('p', [member('p')]);
-	const record = createRecord('s', [member('p')]);
+	const once = createOnce('p', [createMember('p')]);
+	const record = createRecord('s', [createMember('p')]);
 	once.recordSeen({version: 5, record}, 0);
-	once.recordSeen({version: 4, record: createRecord('s', [member('other')])}, 0);
+	once.recordSeen({version: 4, record: createRecord('s', [createMember('other')])}, 0);
 	t.equal(once.known?.version, 5);
 	t.ok(once.isPrimaryOfAny);
 });
--- a/packages/core/src/tests/routing.test.ts
+++ b/packages/core/src/tests/routing.test.ts
@@ -1,11 +1,10 @@
 import {test} from 'tap';
 import {
-	Importance, Liveness, Router, RouteType, UpstreamState, type Member, type RoutingRequest, type ServingState,
+	Importance, Router, RouteType, type Member, type RoutingRequest, type ServingState,
 } from '../index.js';
+import {createMember} from './fixtures.js';
 
-const member = (name: string, failureDomain: string): Member => ({
-	name, incarnation: 1, version: 1, location: {region: 'r', failureDomain}, host: name, callersPort: 1, peersPort: 2, controlPort: 3, service: 'deep', state: UpstreamState.Ready, slots: 30, liveness: Liveness.Alive,
-});
+const member = (name: string, failureDomain: string): Member => createMember(name, {location: {region: 'r', failureDomain}, service: 'deep', slots: 30});
 
 const request: RoutingRequest = {
 	service: 'deep', kind: 'fetch', importance: Importance.Normal, priority: 200, crossRegion: true, excluded: new Set(),
--- a/packages/core/src/tests/serving.test.ts
+++ b/packages/core/src/tests/serving.test.ts
@@ -1,39 +1,14 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'tap';
 import {
-	createRecord, Guard, Importance, Liveness, Once, Outcome, priorityOf, Semantics, Serving, ServingEffectType, UpstreamState, type CallFrame, type Member, type ServingEffect,
+	createRecord, Guard, Importance, Outcome, priorityOf, Semantics, Serving, ServingEffectType, type CallFrame, type Once, type ServingEffect,
 } from '../index.js';
-
-const member = (name: string): Member => ({
-	name,
-	incarnation: 1,
-	version: 1,
-	location: {region: 'r', failureDomain: name},
-	host: name,
-	callersPort: 1,
-	peersPort: 2,
-	controlPort: 3,
-	service: 's',
-	state: UpstreamState.Ready,
-	slots: 1,
-	liveness: Liveness.Alive,
-});
+import {createMember, createOnce} from './fixtures.js';
 
 function createServing(): {serving: Serving; guard: Guard; once: Once} {
-	const once = new Once({
-		own: {name: 'p', incarnation: 1},
-		bounds: {maximumClaims: 10, maximumAnswerBytes: 1000},
-		wallClock: () => 0,
-		random: () => 0.5,
-		rememberForMilliseconds: () => 60_000,
-		clockErrorMilliseconds: 10,
-		longestCallMilliseconds: 1000,
-		withoutStoreMilliseconds: 100_000,
-	});
-	once.setService('s', true);
-	once.setMembers([member('p'), member('q')]);
+	const once = createOnce('p', [createMember('p'), createMember('q')], {bounds: {maximumClaims: 10, maximumAnswerBytes: 1000}, withoutStoreMilliseconds: 100_000});
 	once.renewed(0);
-	once.recordSeen({version: 1, record: createRecord('s', [member('p')])}, 0);
+	once.recordSeen({version: 1, record: createRecord('s', [createMember('p')])}, 0);
 	const guard = new Guard(1);
 	const serving = new Serving({
 		guard, once, service: () => 's', policyOf: () => undefined, revision: () => 1, isLeaving: () => false, levelBelow: () => 0,
@@ -69,7 +44,7 @@
 	const {serving, guard, once} = createServing();
 	t.same(dispatched(serving.receive(frame(1), 0)), ['n.1.1']);
 	t.same(dispatched(serving.receive(frame(2), 1)), [], 'waits for the slot');
-	const handedOver = createRecord('s', [member('q')]);
+	const handedOver = createRecord('s', [createMember('q')]);
 	const record = {...handedOver, ranges: handedOver.ranges.map(range => ({...range, epoch: 2}))};
 	t.same(answersOf(serving.fromOnce(once.recordSeen({version: 2, record}, 2), 2)), [`n.1.2 ${Outcome.NotRun}`]);
 	t.equal(guard.waiting, 0);
--- a/packages/node/src/tests/bad-input.test.ts
+++ b/packages/node/src/tests/bad-input.test.ts
@@ -1,26 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createConnection, createServer} from 'node:net';
+import {createConnection} from 'node:net';
 import {frameHead, FrameType} from '@laburnumspool/protocol';
 import {test, type Test} from 'tap';
 import {request} from 'undici';
 import {
-	checkSettings, type LogPart, startDaemon, type Daemon, type PartLog, type Settings,
+	checkSettings, startDaemon, type Daemon, type Settings,
 } from '../index.js';
-
-async function freePort(): Promise<number> {
-	const server = createServer().listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as {port: number};
-	server.close();
-	await once(server, 'close');
-	return port;
-}
-
-const silent = (): void => undefined;
-const silentLog = (_part: LogPart): PartLog => ({
-	error: silent, warn: silent, info: silent, debug: silent,
-});
+import {freePort, silent, silentLog} from './fixtures.js';
 
 async function start(t: Test): Promise<{daemon: Daemon; settings: Settings; callers: string; peers: string}> {
 	const [callers, peers, control, store] = [await freePort(), await freePort(), await freePort(), await freePort()];
@@ -29,7 +16,7 @@
 			requestBytes: 1000, openRequests: 100, slowSenderSeconds: 1, claims: 10, claimAnswerBytes: 1000, events: 100,
 		}, clockErrorMilliseconds: 100, stopSeconds: 1,
 	});
-	const daemon = await startDaemon(settings, silentLog);
+	const daemon = await startDaemon(settings, () => silentLog);
 	t.teardown(async () => daemon.stop());
 	return {
 		daemon, settings, callers: `http://127.0.0.1:${callers}`, peers: `http://127.0.0.1:${peers}`,
--- a/packages/node/src/tests/stop.test.ts
+++ b/packages/node/src/tests/stop.test.ts
@@ -1,30 +1,14 @@
 import {once} from 'node:events';
-import {createServer as createHttpServer, type ServerResponse} from 'node:http';
-import {createServer} from 'node:net';
+import {createServer, type ServerResponse} from 'node:http';
 import {test} from 'tap';
-import {
-	checkSettings, startDaemon, type LogPart, type PartLog,
-} from '../index.js';
-
-const silent = (): void => undefined;
-const silentLog = (_part: LogPart): PartLog => ({
-	error: silent, warn: silent, info: silent, debug: silent,
-});
-
-async function freePort(): Promise<number> {
-	const server = createServer().listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as {port: number};
-	server.close();
-	await once(server, 'close');
-	return port;
-}
+import {checkSettings, startDaemon} from '../index.js';
+import {freePort, silentLog} from './fixtures.js';
 
 test('a stop does not wait for a store that is silent', async t => {
 	const arrivals = new EventTarget();
 	const held: ServerResponse[] = [];
 	const answers: Readonly<Record<string, unknown>> = {'POST /v1/leases': {lease: '1'}, 'PUT /v1/keys': {version: 1}};
-	const store = createHttpServer((request, response) => {
+	const store = createServer((request, response) => {
 		const call = `${request.method} ${request.url!.split('/').slice(0, 3).join('/')}`;
 		request.resume();
 		if (call in answers) {
@@ -44,7 +28,7 @@
 		name: 'n', region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers: await freePort(), peers: await freePort(), control: await freePort()}, store: {url: `http://127.0.0.1:${(store.address() as {port: number}).port}`}, stopSeconds: 1,
 	});
 	const entered = once(arrivals, 'PUT');
-	const daemon = await startDaemon(settings, silentLog);
+	const daemon = await startDaemon(settings, () => silentLog);
 	await entered;
 	await daemon.stop();
 	t.equal(held.length, 1, 'the lease was given back');
--- a/packages/node/src/tests/upstream-client.test.ts
+++ b/packages/node/src/tests/upstream-client.test.ts
@@ -7,8 +7,8 @@
 import {test, type Test} from 'tap';
 import {CoreMessageType, type CoreMessage, type CoreTask} from '../core-task.js';
 import {UpstreamClient} from '../upstream-client.js';
+import {silent, silentLog} from './fixtures.js';
 
-const silent = (): void => undefined;
 const headers = {
 	timeLeft: 'time-left', requestId: 'request-id', expectedInstance: 'expected', notExecuted: 'not-executed', signature: 'signature',
 };
@@ -66,9 +66,7 @@
 	}).listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	const core = new CoreStandIn();
-	const client = new UpstreamClient(core as unknown as CoreTask, headers, {
-		error: silent, warn: silent, info: silent, debug: silent,
-	});
+	const client = new UpstreamClient(core as unknown as CoreTask, headers, silentLog);
 	t.teardown(async () => {
 		connections.map(socket => socket.destroy());
 		server.close();
