Name the failing tests in the report, and keep their ports apart

The demo tests were run in a loop beside load: in 14 runs one failed since a port found free was taken before its process listened (an upstream ended with 1 before it was ready), and one since a payment right after the start was not answered with 200.

Change: the report prints each failure with the names around it and what the runner says of it. Ports of the demo come from below the range of outgoing connections, in a block for each process. The test of the kill prints the answers that were not 200 in place of a bare false; it is as strict as before.

--- a/demo/src/processes.ts
+++ b/demo/src/processes.ts
@@ -107,18 +107,39 @@
 	return {code, lines: started.lines};
 }
 
-/** Ports that nobody listens on now. */
+/** Ports below those that the system gives to outgoing connections, in a block for each process that asks for some. */
+const firstPort = 10_000;
+const portsPerBlock = 100;
+const blockCount = 200;
+let lastOffset = -1;
+
+/**
+ * Ports that nobody listens on now, and that neither an outgoing connection nor another process that asks at the same
+ * time takes before they are used.
+ */
 export async function findFreePorts(count: number): Promise<number[]> {
-	const servers = await Promise.all(Array.from({length: count}, async () => {
-		const server = createServer();
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		return server;
-	}));
-	const ports = servers.map(server => (server.address() as {port: number}).port);
-	await Promise.all(servers.map(async server => {
-		server.close();
-		await once(server, 'close');
-	}));
+	const ports: number[] = [];
+	while (ports.length < count) {
+		lastOffset = (lastOffset + 1) % portsPerBlock;
+		const port = firstPort + ((process.pid % blockCount) * portsPerBlock) + lastOffset;
+		if (await isFree(port)) { // eslint-disable-line no-await-in-loop
+			ports.push(port);
+		}
+	}
+
 	return ports;
 }
+
+async function isFree(port: number): Promise<boolean> {
+	const server = createServer();
+	server.listen(port, '127.0.0.1');
+	try {
+		await once(server, 'listening');
+	} catch {
+		return false;
+	}
+
+	server.close();
+	await once(server, 'close');
+	return true;
+}
--- a/demo/src/tests/takeover.test.ts
+++ b/demo/src/tests/takeover.test.ts
@@ -32,7 +32,7 @@
 	t.ok(await payUntilServed(entry.callers, 'warm'));
 	const keys = Array.from({length: 16}, (_, index) => `old-${index}`);
 	const first = await Promise.all(keys.map(async key => send(entry.callers, 'POST', '/deposits/deposits', {'idempotency-key': key})));
-	t.ok(first.every(answer => answer.status === 200));
+	t.same(first.filter(answer => answer.status !== 200), []);
 	await stopProcess(find(system, 'deposits-0').node, 'SIGKILL');
 	t.ok(await payUntilServed(entry.callers, 'after'));
 	const second = await Promise.all(keys.map(async key => send(entry.callers, 'POST', '/deposits/deposits', {'idempotency-key': key})));
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -49,10 +49,20 @@
 const isKnown = result => enclosing(result).some(({name}) => known.some(entry => name.startsWith(entry)));
 const unexpected = failures.filter(result => !isKnown(result));
 
-if (unexpected.length > 0 || leaves.length === 0 || (run.status !== 0 && failures.length === 0)) {
+// A failure with the names around it and what the runner says of it, which a cut report may no longer hold.
+const describe = result => [
+	enclosing(result).map(({name}) => name).toReversed().join(' > '),
+	...lines.slice(result.index, result.index + 1 + Math.max(0, lines.slice(result.index + 1).findIndex(line => /^\s*(?:not )?ok \d|^\s*1\.\./v.test(line)))),
+].join('\n');
+
+if (leaves.length === 0 || (run.status !== 0 && failures.length === 0)) {
 	console.log(run.stdout.slice(-20_000));
 }
 
+for (const result of unexpected) {
+	console.log(`failed: ${describe(result)}`);
+}
+
 for (const {name} of failures.filter(result => isKnown(result))) {
 	console.log(`known red: ${name}`);
 }
