Take back claims that a change of the primary leaves undispatched

Cause: a planned change of a range's primary refuses the calls whose claim the old primary had made and not dispatched, and says not-run, rightly. Their claims stayed at the next primary, which took them for dispatched: the same call, sent again there at once, waited its whole time for an answer that could not come and was told that its key may have been used (502, unknown). Right after a start, while ranges are spread, a payment could meet this.

Ruled out: an upstream or a link that broke (no answer was unknown before), the bound on asks (24 at 50 ms: the refusal then names the range, not the key).

Change: a primary that is replaced tells the holders to release those claims, and a release is believed whatever the roles are by then, since whoever sends it has never dispatched the claim and never will; only the very claim is removed, never a later one of the key. A call that waits for such a claim is refused as not run, so that its entry asks again.

Before: the new test fails at three places.

--- a/packages/core/src/once/key-range.ts
+++ b/packages/core/src/once/key-range.ts
@@ -115,7 +115,7 @@
 			return this.#primary.activate(range.epoch, range.backup, isTakeover ? this.#unfinishedKeys() : [], now);
 		}
 
-		const effects = this.#primary.deactivate();
+		const effects = this.#primary.deactivate(range.epoch, this.#otherHolders());
 		if (!this.isBackup && !this.#backup.isCandidateAfter(range.epoch)) {
 			this.#table.clear();
 		}
@@ -156,6 +156,7 @@
 		const handlers: Readonly<Partial<Record<OnceMessageType, () => OnceEffect[]>>> = {
 			[OnceMessageType.Finished]: () => this.#receiveFinished(message, now),
 			[OnceMessageType.SyncAcknowledged]: () => this.#receiveSyncAcknowledged(from, message),
+			[OnceMessageType.Release]: () => [...this.#receiveRelease(message), ...this.#backup.receive(from, message, now)],
 		};
 		return handlers[message.type]?.() ?? [...this.#primary.receive(message, now), ...this.#backup.receive(from, message, now)];
 	}
@@ -241,6 +242,12 @@
 		return this.#primary.finishedElsewhere(key);
 	}
 
+	/** Whoever takes a claim back has never dispatched it and never will, so it counts no longer, whatever the roles are by now. */
+	#receiveRelease(message: OnceMessage): OnceEffect[] {
+		const isTakenBack = message.type === OnceMessageType.Release && this.#table.remove(message.key, message.id);
+		return isTakenBack && this.#primary.isActive ? this.#primary.releasedElsewhere(message.key) : [];
+	}
+
 	#finishedMessage(to: Holder, claim: Claim, answer: AnswerPayload): OnceEffect {
 		const {service, range} = this.#definition;
 		const {key, id, digest} = claim;
--- a/packages/core/src/once/primary-role.ts
+++ b/packages/core/src/once/primary-role.ts
@@ -79,13 +79,19 @@
 		return this.#sendAll(now);
 	}
 
-	/** Another node is primary: what was not dispatched is refused, what runs goes on. */
-	deactivate(): OnceEffect[] {
+	/**
+	 * Another node is primary: what was not dispatched is refused, and its claims are taken back at the holders, which
+	 * take them for dispatched. What runs goes on.
+	 */
+	deactivate(epoch: number, holders: readonly Holder[]): OnceEffect[] {
 		this.#isActive = false;
 		const error = {kind: ErrorKind.StaleRange, detail: `Range ${this.#definition.range} of ${this.#definition.service} has another primary`};
 		return [...this.#attempts.values()]
 			.filter(attempt => attempt.stage !== Stage.Running && attempt.stage !== Stage.Waiting)
-			.flatMap(attempt => this.#settleRefused(attempt, attempt.error ?? error, false));
+			.flatMap(attempt => [
+				...holders.map(to => this.#message(to, attempt, OnceMessageType.Release, epoch)),
+				...this.#settleRefused(attempt, attempt.error ?? error, false),
+			]);
 	}
 
 	/** Stops dispatching while the claims are being given to a new backup. */
@@ -159,6 +165,13 @@
 		return attempt.joined.map(joined => this.#settleJoined(joined, answer));
 	}
 
+	/** The primary before this one never dispatched the key: calls that wait for its end can be sent anew. */
+	releasedElsewhere(key: string): OnceEffect[] {
+		this.#orphans.delete(key);
+		const attempt = this.#waitingFor(key);
+		return attempt === undefined ? [] : this.#settleRefused(attempt, {kind: ErrorKind.StaleRange, detail: 'An earlier try with this key was given up before dispatch'}, false);
+	}
+
 	/** Takes the end of a call that the primary before this one ran. */
 	finishedElsewhere(key: string): OnceEffect[] {
 		const answer = this.#definition.table.get(key)?.answer;
@@ -253,12 +266,17 @@
 
 	#sendToBackup(attempt: Attempt, type: OnceMessageType.Claim | OnceMessageType.Release, now: number): OnceEffect[] {
 		attempt.sentAt = now;
+		return [this.#message(this.#backup!, attempt, type, this.#epoch)];
+	}
+
+	#message(to: Holder, attempt: Attempt, type: OnceMessageType.Claim | OnceMessageType.Release, epoch: number): OnceEffect {
 		const {service, range} = this.#definition;
 		const {call: {key, digest}, id} = attempt;
-		const message: OnceMessage = {
-			type, service, range, epoch: this.#epoch, key, id, digest,
+		return {
+			type: OnceEffectType.Send, to, message: {
+				type, service, range, epoch, key, id, digest,
+			},
 		};
-		return [{type: OnceEffectType.Send, to: this.#backup!, message}];
 	}
 
 	#grant(attempt: Attempt, now: number): OnceEffect[] {
--- a/packages/core/src/tests/once.test.ts
+++ b/packages/core/src/tests/once.test.ts
@@ -1,6 +1,6 @@
 import {test} from 'tap';
 import {
-	createRecord, ErrorKind, holderKey, Liveness, OnceEffectType, OpenResultType, returnsOf, WriteResultType, type OnceCall, type OnceEffect, type VersionedRecord,
+	createRecord, ErrorKind, holderKey, Liveness, OnceEffectType, OnceMessageType, OpenResultType, returnsOf, WriteResultType, type OnceCall, type OnceEffect, type OnceMessage, type VersionedRecord,
 } from '../index.js';
 import {createMember, createOnce} from './fixtures.js';
 
@@ -61,6 +61,45 @@
 	t.match(once.open({...call(4), key: 'key-1'}, 20), {type: OpenResultType.Joined});
 });
 
+test('a call refused by a change of the primary before its dispatch can run at the next primary at once', async t => {
+	const [p, q] = [{name: 'p', incarnation: 1}, {name: 'q', incarnation: 1}];
+	const members = [createMember('p'), createMember('q')];
+	const first = {...createRecord('s', members), ranges: createRecord('s', members).ranges.map(range => ({...range, primary: p, backup: q}))};
+	const handedOver = {
+		...first, ranges: first.ranges.map(range => ({
+			...range, primary: q, backup: p, epoch: range.epoch + 1,
+		})),
+	};
+	const sent = (effects: readonly OnceEffect[]): OnceMessage[] => effects.flatMap(effect => effect.type === OnceEffectType.Send ? [effect.message] : []);
+	for (const isKnownFirst of [false, true]) {
+		const [old, next] = [createOnce('p', members), createOnce('q', members)];
+		[old, next].map(once => {
+			once.renewed(0);
+			return once.recordSeen({version: 1, record: first}, 0);
+		});
+		old.open(call(1), 10);
+		const acknowledged = sent(old.admitted(call(1), 10)).flatMap(message => sent(next.receive(p, message, 11)));
+		t.match(acknowledged, [{type: OnceMessageType.ClaimAcknowledged}]);
+		const settled = old.recordSeen({version: 2, record: handedOver}, 12);
+		t.match(settled.filter(effect => effect.type === OnceEffectType.Refused), [{isNotRun: true, error: {kind: ErrorKind.StaleRange}}]);
+		const becomePrimary = (): OnceEffect[] => next.recordSeen({version: 2, record: handedOver}, 13);
+		const again = {...call(1), callId: 'c1-again'};
+		if (isKnownFirst) {
+			becomePrimary();
+			t.equal(next.open(again, 13).type, OpenResultType.Joined, 'the claim may still be dispatched');
+		}
+
+		const released = sent(settled).flatMap(message => next.receive(p, message, 14));
+		t.match(released.filter(effect => effect.type === OnceEffectType.Refused), isKnownFirst ? [{callId: 'c1-again', isNotRun: true}] : []);
+		if (!isKnownFirst) {
+			becomePrimary();
+		}
+
+		t.equal(next.open({...call(1), callId: 'c1-third'}, 15).type, OpenResultType.Proceed);
+		t.same(old.receive(q, acknowledged[0]!, 16), [], 'the old primary never dispatches it');
+	}
+});
+
 test('a record of a lower version changes nothing', async t => {
 	const once = createOnce('p', [createMember('p')]);
 	const record = createRecord('s', [createMember('p')]);
