Take requests without a body without a promise, and look at the clock half as often

Cause: a call costs 1.2 to 1.9 ms of processor time in young processes. A profile of four nodes on one core (500 calls/s): nothing stands out; the time is in what each request touches.

Change: no promise for a request without a body; a histogram's labels are looked up once; the tick while calls are open comes each 30 ms in place of 15. The demo waits up to 60 s for a process to print that it is ready.

--- a/demo/src/processes.ts
+++ b/demo/src/processes.ts
@@ -11,7 +11,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 
 const stopMilliseconds = 10_000;
-const printMilliseconds = 20_000;
+const printMilliseconds = 60_000;
 
 /** Processes that end with this one, also when it fails. */
 const running = new Set<ChildProcess>();
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -14,7 +14,7 @@
 } from '@laburnumspool/core';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
-	filterHeaders, HeaderName, readBody, sendClientError, sendProblem, toCallError,
+	filterHeaders, hasBody, HeaderName, noBody, readBody, sendClientError, sendProblem, toCallError,
 } from './http-messages.js';
 import {isOwnPath, type OwnInterface} from './own-interface.js';
 import type {HeaderNames} from './settings.js';
@@ -46,7 +46,7 @@
 export class CallersServer {
 	readonly #definition: CallersServerDefinition;
 	readonly #server: Server;
-	readonly #open = new Map<number, {readonly response: ServerResponse; readonly startedAt: number; readonly requestId: string}>();
+	readonly #openRequests = new Map<number, {readonly response: ServerResponse; readonly startedAt: number; readonly requestId: string}>();
 	readonly #dropped: ReadonlySet<string>;
 	#bodyBytes: number;
 	#lastEntryId = 0;
@@ -62,7 +62,7 @@
 			requestTimeout: definition.slowSenderMilliseconds,
 			connectionsCheckingInterval: Math.min(1000, definition.slowSenderMilliseconds),
 		}, (request, response) => {
-			void this.#handle(request, response);
+			this.#handle(request, response);
 		});
 		this.#server.on('clientError', sendClientError);
 		definition.core.handle({
@@ -74,7 +74,7 @@
 
 	/** Requests that are not answered yet. */
 	get openCount(): number {
-		return this.#open.size;
+		return this.#openRequests.size;
 	}
 
 	/** Takes the bounds of a manifest; what it does not state stays as it is. */
@@ -107,45 +107,70 @@
 		this.#server.closeAllConnections();
 	}
 
-	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	#handle(request: IncomingMessage, response: ServerResponse): void {
+		const url = request.url ?? '/';
+		if (isOwnPath(url)) {
+			void this.#orRefuse(request, response, this.#definition.own.handle(request, response, url));
+		} else if (hasBody(request)) {
+			void this.#orRefuse(request, response, this.#handleBody(request, response, url));
+		} else {
+			this.#openOrRefuse(request, response, url);
+		}
+	}
+
+	/** Most requests have no body, and need no promise. */
+	#openOrRefuse(request: IncomingMessage, response: ServerResponse, url: string): void {
 		try {
-			const url = request.url ?? '/';
-			await (isOwnPath(url) ? this.#definition.own.handle(request, response, url) : this.#handleCall(request, response, url));
+			this.#open(request, response, url, noBody);
 		} catch (error) {
-			response.once('finish', () => request.destroy());
-			sendProblem(response, toCallError(error));
+			refuse(request, response, error);
 		}
 	}
 
-	async #handleCall(request: IncomingMessage, response: ServerResponse, url: string): Promise<void> {
-		if (this.#open.size >= this.#definition.openRequests) {
+	async #handleBody(request: IncomingMessage, response: ServerResponse, url: string): Promise<void> {
+		this.#requireRoom();
+		this.#open(request, response, url, await readBody(request, this.#bodyBytes));
+	}
+
+	async #orRefuse(request: IncomingMessage, response: ServerResponse, handling: Promise<void>): Promise<void> {
+		try {
+			await handling;
+		} catch (error) {
+			refuse(request, response, error);
+		}
+	}
+
+	#requireRoom(): void {
+		if (this.#openRequests.size >= this.#definition.openRequests) {
 			throw new LaburnumspoolError(ErrorKind.Overloaded, 'The node has too many open requests');
 		}
+	}
 
+	#open(request: IncomingMessage, response: ServerResponse, url: string, body: Buffer): void {
+		this.#requireRoom();
 		this.#lastEntryId += 1;
 		const entryId = this.#lastEntryId;
-		const body = await readBody(request, this.#bodyBytes);
 		const callerRequest = this.#toCallerRequest(entryId, request, url, body);
-		this.#open.set(entryId, {response, startedAt: performance.now(), requestId: callerRequest.requestId ?? ''});
+		this.#openRequests.set(entryId, {response, startedAt: performance.now(), requestId: callerRequest.requestId ?? ''});
 		response.once('close', () => {
-			if (this.#open.delete(entryId)) {
+			if (this.#openRequests.delete(entryId)) {
 				this.#definition.core.post({type: CoreMessageType.CallerGone, entryId});
 			}
 		});
 		if (!this.#definition.core.post({type: CoreMessageType.CallerRequested, request: callerRequest})) {
-			this.#open.delete(entryId);
+			this.#openRequests.delete(entryId);
 			throw new LaburnumspoolError(ErrorKind.Overloaded, 'The node has too many messages waiting');
 		}
 	}
 
 	#answer(entryId: number, answer: CallerAnswer): void {
-		const open = this.#open.get(entryId);
+		const open = this.#openRequests.get(entryId);
 		if (open === undefined) {
 			return;
 		}
 
 		const {response, startedAt, requestId} = open;
-		this.#open.delete(entryId);
+		this.#openRequests.delete(entryId);
 		this.#definition.observeAnswer(answer.outcome, performance.now() - startedAt);
 
 		if (this.#isStopping) {
@@ -196,6 +221,11 @@
 	}
 }
 
+function refuse(request: IncomingMessage, response: ServerResponse, error: unknown): void {
+	response.once('finish', () => request.destroy());
+	sendProblem(response, toCallError(error));
+}
+
 /** Headers that the system sets itself; the request's name travels beside the headers. */
 function droppedHeaders({timeLeft, requestId, expectedInstance, callerService}: HeaderNames): ReadonlySet<string> {
 	return new Set([timeLeft, HeaderName.TraceParent, HeaderName.TraceState, ...[requestId, expectedInstance, callerService].filter(name => name !== undefined)]);
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -29,7 +29,7 @@
 import {probeUpstream} from './upstream-probe.js';
 
 /** Time between two looks at the clock while calls are open, which bounds how late a deadline is noticed, and else. */
-const busyTickMilliseconds = 15;
+const busyTickMilliseconds = 30;
 const idleTickMilliseconds = 100;
 const gaugeMilliseconds = 1000;
 const linkWatchMilliseconds = 200;
--- a/packages/node/src/http-messages.ts
+++ b/packages/node/src/http-messages.ts
@@ -11,7 +11,9 @@
 } from '@laburnumspool/core';
 
 const retryAfterSeconds = 1;
-const nothing = Buffer.alloc(0);
+
+/** The body of a request without one. */
+export const noBody = Buffer.alloc(0);
 
 /** Headers of one connection, never passed on. */
 const hopHeaders: ReadonlySet<string> = new Set([
@@ -59,6 +61,11 @@
 	return position === -1 ? undefined : headers[position + 1];
 }
 
+/** Whether a request has a body to be read. */
+export function hasBody(request: IncomingMessage): boolean {
+	return request.headers['transfer-encoding'] !== undefined || Number(request.headers['content-length'] ?? 0) > 0;
+}
+
 /** Reads a body; rejects with `payload-too-large`, or with `malformed` when the sender stops before its end. */
 export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Buffer> {
 	const declared = Number(request.headers['content-length'] ?? 0);
@@ -66,8 +73,8 @@
 		throw new LaburnumspoolError(ErrorKind.PayloadTooLarge, `The body has ${declared} bytes; at most ${maximumBytes} are taken`);
 	}
 
-	if (declared === 0 && request.headers['transfer-encoding'] === undefined) {
-		return nothing;
+	if (!hasBody(request)) {
+		return noBody;
 	}
 
 	return new Promise((resolve, reject) => {
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -57,6 +57,7 @@
 	const latencies = new Histogram({
 		name: `${prefix}answer_milliseconds`, help: 'Time from a caller\'s whole request to its answer', labelNames: ['kind'], buckets: latencyBuckets, registers,
 	});
+	const latencyOf = new Map<string, {readonly observe: (milliseconds: number) => void}>();
 	const client = server === undefined ? undefined : await openStatsd(server, node);
 	return {
 		count(event) {
@@ -84,7 +85,9 @@
 			});
 		},
 		observeAnswer(kind, milliseconds) {
-			latencies.observe({kind}, milliseconds);
+			const known = latencyOf.get(kind) ?? latencies.labels({kind});
+			latencyOf.set(kind, known);
+			known.observe(milliseconds);
 		},
 		text: async () => ({type: registry.contentType, text: await registry.metrics()}),
 		close() {
