Let the test of a kill pay as a caller does

Sixteen payments at once on two times four slots, right after a start on a busy machine, may be refused for want of capacity, and say so rightly.

Ruled out: the claims (the answer is not-run and the key was free).

Change: each key is paid until an answer is not 'not-run', as a caller does; every other answer than 200 still fails the test, a key that may have run among them, and the count of repeats stays 0. Narrowed for refusals that a trace shows to be allowed, nothing else.

--- a/demo/src/tests/small-system.ts
+++ b/demo/src/tests/small-system.ts
@@ -69,6 +69,16 @@
 	return counters.reduce((sum, {repeats}) => sum + repeats, 0);
 }
 
+/** Pays with one key as a caller does: what was refused as not run is sent again, and every other answer is the last. */
+export async function payUntilRun(address: string, key: string): Promise<Answer> {
+	const answers: Answer[] = [];
+	await until(async () => {
+		answers.push(await send(address, 'POST', '/deposits/deposits', {'idempotency-key': key}));
+		return answers.at(-1)?.outcome !== 'not-run';
+	});
+	return answers.at(-1)!;
+}
+
 /** Pays with fresh keys until one payment after another has gone through. */
 export async function payUntilServed(address: string, prefix: string): Promise<boolean> {
 	let count = 0;
--- a/demo/src/tests/takeover.test.ts
+++ b/demo/src/tests/takeover.test.ts
@@ -2,7 +2,7 @@
 import {stopProcess} from '../processes.js';
 import {readMembers, startNode} from '../system.js';
 import {
-	countRepeats, find, payUntilServed, send, start, until,
+	countRepeats, find, payUntilRun, payUntilServed, send, start, until,
 } from './small-system.js';
 
 test('a planned stop cuts off nothing and ends with exit code 0', async t => {
@@ -31,7 +31,7 @@
 	const entry = find(system, 'deliveries-1');
 	t.ok(await payUntilServed(entry.callers, 'warm'));
 	const keys = Array.from({length: 16}, (_, index) => `old-${index}`);
-	const first = await Promise.all(keys.map(async key => send(entry.callers, 'POST', '/deposits/deposits', {'idempotency-key': key})));
+	const first = await Promise.all(keys.map(async key => payUntilRun(entry.callers, key)));
 	t.same(first.filter(answer => answer.status !== 200), []);
 	await stopProcess(find(system, 'deposits-0').node, 'SIGKILL');
 	t.ok(await payUntilServed(entry.callers, 'after'));
