Cancel requests that wait behind another when their connection ends, and apply the bounds on headers

Two gaps of the callers' port, found by its first tests of its own (a server on real sockets before a core that only notes).

Cause 1: a caller that sends requests behind one another and goes away was told of for the first only. The runtime tells a response of its connection's end only once it is that response's turn; those behind it never hear of it, so their calls went on at upstreams for nobody. Change: the end of the connection is watched, once for each connection in place of once for each request, and all its open requests are told to the core. A body that comes whole just as its connection ends opens no call.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -18,6 +18,7 @@
 export enum ErrorKind {
 	Malformed = 'malformed',
 	PayloadTooLarge = 'payload-too-large',
+	HeadersTooLarge = 'headers-too-large',
 	UnknownService = 'unknown-service',
 	UnknownRequestKind = 'unknown-request-kind',
 	KeyReused = 'key-reused',
@@ -70,6 +71,7 @@
 export const answers: Readonly<Record<ErrorKind, Answer>> = {
 	[ErrorKind.Malformed]: rejection(400, 'The request is malformed'),
 	[ErrorKind.PayloadTooLarge]: rejection(413, 'The request is too large'),
+	[ErrorKind.HeadersTooLarge]: rejection(431, 'The headers of the request are too large'),
 	[ErrorKind.UnknownService]: rejection(404, 'No such service'),
 	[ErrorKind.UnknownRequestKind]: rejection(404, 'The service has no such request kind'),
 	[ErrorKind.KeyReused]: rejection(409, 'The idempotency key belongs to another request'),
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -8,6 +8,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {
 	ErrorKind, LaburnumspoolError, NodeEffectType, type CallerAnswer, type CallerLimits, type CallerRequest,
@@ -19,9 +20,16 @@
 import {isOwnPath, type OwnInterface} from './own-interface.js';
 import type {HeaderNames} from './settings.js';
 
-const maximumHeaderBytes = 16 * 1024;
+/** Headers that the server reads at all, and those that it takes while no manifest says otherwise. */
+const maximumHeaderBytes = 128 * 1024;
+const standardHeaderBytes = 16 * 1024;
+
+/** What stands around each header: colon, space and line end. */
+const bytesAroundHeader = 4;
 const answerHeaders: ReadonlySet<string> = new Set([HeaderName.Outcome, HeaderName.Attempts]);
 
+type OpenRequest = {readonly response: ServerResponse; readonly socket: Socket; readonly startedAt: number; readonly requestId: string};
+
 export type CallersServerDefinition = {
 	readonly core: CoreTask;
 	readonly requestBytes: number;
@@ -46,9 +54,12 @@
 export class CallersServer {
 	readonly #definition: CallersServerDefinition;
 	readonly #server: Server;
-	readonly #openRequests = new Map<number, {readonly response: ServerResponse; readonly startedAt: number; readonly requestId: string}>();
+	readonly #openRequests = new Map<number, OpenRequest>();
+	/** Requests of each connection that are not answered yet. */
+	readonly #connections = new Map<Socket, Set<number>>();
 	readonly #dropped: ReadonlySet<string>;
 	#bodyBytes: number;
+	#headerBytes = standardHeaderBytes;
 	#lastEntryId = 0;
 	#isStopping = false;
 
@@ -78,8 +89,10 @@
 	}
 
 	/** Takes the bounds of a manifest; what it does not state stays as it is. */
-	setLimits({bodyBytes, idleMilliseconds}: CallerLimits): void {
+	setLimits({headerBytes, headerMilliseconds, bodyBytes, idleMilliseconds}: CallerLimits): void {
+		this.#headerBytes = headerBytes ?? this.#headerBytes;
 		this.#bodyBytes = bodyBytes ?? this.#bodyBytes;
+		this.#server.headersTimeout = headerMilliseconds ?? this.#server.headersTimeout;
 		this.#server.keepAliveTimeout = idleMilliseconds ?? this.#server.keepAliveTimeout;
 	}
 
@@ -109,7 +122,9 @@
 
 	#handle(request: IncomingMessage, response: ServerResponse): void {
 		const url = request.url ?? '/';
-		if (isOwnPath(url)) {
+		if (headerBytesOf(request, url) > this.#headerBytes) {
+			refuse(request, response, new LaburnumspoolError(ErrorKind.HeadersTooLarge, `At most ${this.#headerBytes} bytes of headers are taken`));
+		} else if (isOwnPath(url)) {
 			void this.#orRefuse(request, response, this.#definition.own.handle(request, response, url));
 		} else if (hasBody(request)) {
 			void this.#orRefuse(request, response, this.#handleBody(request, response, url));
@@ -147,30 +162,61 @@
 	}
 
 	#open(request: IncomingMessage, response: ServerResponse, url: string, body: Buffer): void {
+		const {socket} = request;
+		if (socket.destroyed) {
+			return;
+		}
+
 		this.#requireRoom();
 		this.#lastEntryId += 1;
 		const entryId = this.#lastEntryId;
 		const callerRequest = this.#toCallerRequest(entryId, request, url, body);
-		this.#openRequests.set(entryId, {response, startedAt: performance.now(), requestId: callerRequest.requestId ?? ''});
-		response.once('close', () => {
-			if (this.#openRequests.delete(entryId)) {
-				this.#definition.core.post({type: CoreMessageType.CallerGone, entryId});
-			}
+		this.#openRequests.set(entryId, {
+			response, socket, startedAt: performance.now(), requestId: callerRequest.requestId ?? '',
 		});
+		this.#requestsOf(socket).add(entryId);
 		if (!this.#definition.core.post({type: CoreMessageType.CallerRequested, request: callerRequest})) {
-			this.#openRequests.delete(entryId);
+			this.#takeOut(entryId);
 			throw new LaburnumspoolError(ErrorKind.Overloaded, 'The node has too many messages waiting');
 		}
 	}
 
-	#answer(entryId: number, answer: CallerAnswer): void {
+	/** A response that waits behind another of its connection is not told of the connection's end, so the connection is asked. */
+	#requestsOf(socket: Socket): Set<number> {
+		const known = this.#connections.get(socket);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const entryIds = new Set<number>();
+		this.#connections.set(socket, entryIds);
+		socket.once('close', () => {
+			this.#connections.delete(socket);
+			[...entryIds].map(entryId => {
+				this.#takeOut(entryId);
+				return this.#definition.core.post({type: CoreMessageType.CallerGone, entryId});
+			});
+		});
+		return entryIds;
+	}
+
+	#takeOut(entryId: number): OpenRequest | undefined {
 		const open = this.#openRequests.get(entryId);
+		if (open !== undefined) {
+			this.#openRequests.delete(entryId);
+			this.#connections.get(open.socket)?.delete(entryId);
+		}
+
+		return open;
+	}
+
+	#answer(entryId: number, answer: CallerAnswer): void {
+		const open = this.#takeOut(entryId);
 		if (open === undefined) {
 			return;
 		}
 
 		const {response, startedAt, requestId} = open;
-		this.#openRequests.delete(entryId);
 		this.#definition.observeAnswer(answer.outcome, performance.now() - startedAt);
 
 		if (this.#isStopping) {
@@ -221,6 +267,10 @@
 	}
 }
 
+function headerBytesOf(request: IncomingMessage, url: string): number {
+	return request.rawHeaders.reduce((sum, text) => sum + text.length, url.length + (request.rawHeaders.length / 2 * bytesAroundHeader));
+}
+
 function refuse(request: IncomingMessage, response: ServerResponse, error: unknown): void {
 	response.once('finish', () => request.destroy());
 	sendProblem(response, toCallError(error));
--- /dev/null
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -0,0 +1,151 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createConnection, type Socket} from 'node:net';
+import {
+	NodeEffectType, Outcome, type CallerRequest, type NodeEffect,
+} from '@laburnumspool/core';
+import {test, type Test} from 'tap';
+import {CallersServer} from '../callers-server.js';
+import {
+	CoreMessageType, type CoreMessage, type CoreTask, type EffectHandlers,
+} from '../core-task.js';
+import type {OwnInterface} from '../own-interface.js';
+import {freePort, silent} from './fixtures.js';
+
+type AnswerCaller = Extract<NodeEffect, {type: NodeEffectType.AnswerCaller}>;
+
+/** A server before a core that only notes what it is told, and answers when the test says so. */
+async function start(t: Test): Promise<{
+	server: CallersServer; messages: CoreMessage[]; told: EventTarget; answer: (entryId: number, body: string | Buffer) => void; connect: () => Promise<Socket>;
+}> {
+	const messages: CoreMessage[] = [];
+	const told = new EventTarget();
+	let handlers: EffectHandlers = {};
+	const core = {
+		core: {isRouted: true},
+		handle(given: EffectHandlers) {
+			handlers = given;
+		},
+		post(message: CoreMessage) {
+			messages.push(message);
+			return told.dispatchEvent(new Event(message.type));
+		},
+	} as unknown as CoreTask;
+	const server = new CallersServer({
+		core, requestBytes: 100_000, openRequests: 100, slowSenderMilliseconds: 5000, headers: {timeLeft: 'x-time', requestId: 'x-id'}, service: 'catalogue', observeAnswer: silent, own: undefined as unknown as OwnInterface,
+	});
+	const port = await freePort();
+	await server.listen(port, '127.0.0.1');
+	t.teardown(() => {
+		server.close();
+	});
+	return {
+		server,
+		messages,
+		told,
+		answer(entryId, body) {
+			const effect: AnswerCaller = {
+				type: NodeEffectType.AnswerCaller, entryId, answer: {
+					outcome: Outcome.Ran, attempts: 1, answer: {status: 200, headers: [], body: Buffer.from(body)}, error: undefined,
+				},
+			};
+			handlers[NodeEffectType.AnswerCaller]?.(effect);
+		},
+		async connect() {
+			const socket = createConnection(port, '127.0.0.1');
+			socket.on('error', silent);
+			t.teardown(() => socket.destroy());
+			await once(socket, 'connect');
+			return socket;
+		},
+	};
+}
+
+const requestsOf = (messages: readonly CoreMessage[]): CallerRequest[] => messages.flatMap(message => message.type === CoreMessageType.CallerRequested ? [message.request] : []);
+
+/** Waits until so many requests have come. */
+async function untilRequested(told: EventTarget, messages: readonly CoreMessage[], count: number): Promise<void> {
+	while (requestsOf(messages).length < count) {
+		await once(told, CoreMessageType.CallerRequested);
+	}
+}
+
+/** Reads until the text holds the mark. */
+async function readUntil(socket: Socket, mark: string): Promise<string> {
+	let text = '';
+	for await (const chunk of socket) {
+		text += String(chunk);
+		if (text.includes(mark)) {
+			break;
+		}
+	}
+
+	return text;
+}
+
+test('requests sent behind one another are answered in their order, each with its own answer', async t => {
+	const {messages, told, answer, connect} = await start(t);
+	const socket = await connect();
+	socket.write(['one', 'two', 'three'].map(name => `GET /${name} HTTP/1.1\r\nhost: h\r\nx-id: ${name}\r\n\r\n`).join(''));
+	await untilRequested(told, messages, 3);
+	requestsOf(messages).toReversed().map(({entryId, requestId}) => {
+		answer(entryId, `body of ${requestId};`);
+		return entryId;
+	});
+	const text = await readUntil(socket, 'body of three;');
+	t.same(text.match(/x-id: \w+|body of \w+;/gu), ['x-id: one', 'body of one;', 'x-id: two', 'body of two;', 'x-id: three', 'body of three;']);
+});
+
+test('a caller that closes its connection is told of to the core, for every request that is open', async t => {
+	const {messages, told, connect} = await start(t);
+	const socket = await connect();
+	socket.write('GET /one HTTP/1.1\r\nhost: h\r\n\r\nGET /two HTTP/1.1\r\nhost: h\r\n\r\n');
+	await untilRequested(told, messages, 2);
+	socket.destroy();
+	const gone = (): number[] => messages.flatMap(message => message.type === CoreMessageType.CallerGone ? [message.entryId] : []);
+	while (gone().length < 2) {
+		await once(told, CoreMessageType.CallerGone);
+	}
+
+	t.same(gone().toSorted((left, right) => left - right), requestsOf(messages).map(({entryId}) => entryId));
+});
+
+test('a body comes whole and unchanged, whether its length is given or it is sent in chunks', async t => {
+	const {messages, told, connect} = await start(t);
+	const socket = await connect();
+	socket.write('PUT /sized?a=%20b HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\nab\r\nc');
+	socket.write('PUT /chunked HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n');
+	await untilRequested(told, messages, 2);
+	t.same(requestsOf(messages).map(({request}) => [request.method, request.target, Buffer.from(request.body).toString()]), [
+		['PUT', '/sized?a=%20b', 'ab\r\nc'],
+		['PUT', '/chunked', 'abcde'],
+	]);
+});
+
+test('the bounds of a manifest hold for headers, bodies and the time that headers take', async t => {
+	const {server, messages, connect} = await start(t);
+	server.setLimits({headerBytes: 200, bodyBytes: 10, headerMilliseconds: 50});
+	const ask = async (text: string): Promise<string> => {
+		const socket = await connect();
+		socket.write(text);
+		return readUntil(socket, '"detail"');
+	};
+
+	t.match(await ask(`GET / HTTP/1.1\r\nhost: h\r\nx: ${'y'.repeat(300)}\r\n\r\n`), /^HTTP\/1\.1 431 [\s\S]*laburnumspool-outcome: not-run[\s\S]*"kind":"headers-too-large"/u);
+	t.match(await ask('PUT / HTTP/1.1\r\nhost: h\r\ncontent-length: 11\r\n\r\n'), /^HTTP\/1\.1 413 /u);
+	t.match(await ask('GET / HTTP/1.1\r\nhost:'), /^HTTP\/1\.1 408 /u);
+	t.same(requestsOf(messages), []);
+});
+
+test('a caller that does not read holds up nobody but itself', async t => {
+	const {messages, told, answer, connect} = await start(t);
+	const [slow, quick] = [await connect(), await connect()];
+	slow.pause();
+	slow.write('GET /large HTTP/1.1\r\nhost: h\r\n\r\n');
+	await untilRequested(told, messages, 1);
+	answer(requestsOf(messages)[0]!.entryId, Buffer.alloc(8 * 1024 * 1024, 'x'));
+	quick.write('GET /small HTTP/1.1\r\nhost: h\r\n\r\n');
+	await untilRequested(told, messages, 2);
+	answer(requestsOf(messages)[1]!.entryId, 'small body');
+	t.match(await readUntil(quick, 'small body'), /^HTTP\/1\.1 200 /u);
+});
