Plant the mistake of taking back a claim that is dispatched

Cause: releases are believed in any role since a primary that is replaced sends them, so the argument rests on their being true; no planted mistake tested that the exploration would see a false one.

Change: a mistake that releases each claim as it is acknowledged.

--- a/benchmarks/src/once-explorer.ts
+++ b/benchmarks/src/once-explorer.ts
@@ -32,6 +32,8 @@
 	RestartKeepsRole = 'restart-keeps-role',
 	/** A range without claims forgets that they were lost. */
 	ForgetsLoss = 'forgets-loss',
+	/** A primary takes back a claim that it dispatches. */
+	ReleasesDispatched = 'releases-dispatched',
 }
 
 /** What one schedule did, and what it broke. */
@@ -375,6 +377,9 @@
 			? {...message, type: OnceMessageType.ClaimAcknowledged as const}
 			: message;
 		this.#network.push({from: node.holder, to, message: sent});
+		if (this.#mistake === PlantedMistake.ReleasesDispatched && message.type === OnceMessageType.ClaimAcknowledged) {
+			this.#network.push({from: to, to: node.holder, message: {...message, type: OnceMessageType.Release}});
+		}
 	}
 
 	/** The dispatch itself comes later: the process may be paused between the decision and the write to the socket. */
--- a/benchmarks/src/tests/once-exploration.test.ts
+++ b/benchmarks/src/tests/once-exploration.test.ts
@@ -17,6 +17,7 @@
 	[PlantedMistake.DispatchesBeforeAcknowledgement, 1, 10],
 	[PlantedMistake.RestartKeepsRole, 1, 10],
 	[PlantedMistake.ForgetsLoss, 92, 10],
+	[PlantedMistake.ReleasesDispatched, 1, 10],
 ];
 
 firstCatchingSeeds.map(async ([mistake, first, count]) => test(`the exploration finds the planted mistake ${mistake}`, async t => {
