Close a stopping node's connections after their last answer, not their first

Cause: while a node stops, each answer closed its connection. Of requests sent behind one another, all of which had been passed on, only the first got its answer; the others' were cut off. Found by reading the new tests' subject, the callers' port, for what a planned stop does to it.

Change: only the answer to the request that came last on a connection closes it, whatever order the answers come in; what comes behind a closing answer is not opened. What is open on which connection stands in a module of its own.

Before: of three requests only the first was answered, with 'connection: close'.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -8,7 +8,6 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {
 	ErrorKind, LaburnumspoolError, NodeEffectType, type CallerAnswer, type CallerLimits, type CallerRequest,
@@ -17,6 +16,7 @@
 import {
 	filterHeaders, hasBody, HeaderName, noBody, readBody, sendClientError, sendProblem, toCallError,
 } from './http-messages.js';
+import {OpenRequests} from './open-requests.js';
 import {isOwnPath, type OwnInterface} from './own-interface.js';
 import type {HeaderNames} from './settings.js';
 
@@ -28,8 +28,6 @@
 const bytesAroundHeader = 4;
 const answerHeaders: ReadonlySet<string> = new Set([HeaderName.Outcome, HeaderName.Attempts]);
 
-type OpenRequest = {readonly response: ServerResponse; readonly socket: Socket; readonly startedAt: number; readonly requestId: string};
-
 export type CallersServerDefinition = {
 	readonly core: CoreTask;
 	readonly requestBytes: number;
@@ -54,9 +52,7 @@
 export class CallersServer {
 	readonly #definition: CallersServerDefinition;
 	readonly #server: Server;
-	readonly #openRequests = new Map<number, OpenRequest>();
-	/** Requests of each connection that are not answered yet. */
-	readonly #connections = new Map<Socket, Set<number>>();
+	readonly #openRequests: OpenRequests;
 	readonly #dropped: ReadonlySet<string>;
 	#bodyBytes: number;
 	#headerBytes = standardHeaderBytes;
@@ -67,6 +63,9 @@
 		this.#definition = definition;
 		this.#bodyBytes = definition.requestBytes;
 		this.#dropped = droppedHeaders(definition.headers);
+		this.#openRequests = new OpenRequests(entryId => {
+			definition.core.post({type: CoreMessageType.CallerGone, entryId});
+		});
 		this.#server = createServer({
 			maxHeaderSize: maximumHeaderBytes,
 			headersTimeout: definition.slowSenderMilliseconds,
@@ -163,7 +162,7 @@
 
 	#open(request: IncomingMessage, response: ServerResponse, url: string, body: Buffer): void {
 		const {socket} = request;
-		if (socket.destroyed) {
+		if (socket.destroyed || this.#openRequests.isClosing(socket)) {
 			return;
 		}
 
@@ -171,55 +170,25 @@
 		this.#lastEntryId += 1;
 		const entryId = this.#lastEntryId;
 		const callerRequest = this.#toCallerRequest(entryId, request, url, body);
-		this.#openRequests.set(entryId, {
+		this.#openRequests.add(entryId, {
 			response, socket, startedAt: performance.now(), requestId: callerRequest.requestId ?? '',
 		});
-		this.#requestsOf(socket).add(entryId);
 		if (!this.#definition.core.post({type: CoreMessageType.CallerRequested, request: callerRequest})) {
-			this.#takeOut(entryId);
+			this.#openRequests.take(entryId);
 			throw new LaburnumspoolError(ErrorKind.Overloaded, 'The node has too many messages waiting');
 		}
 	}
 
-	/** A response that waits behind another of its connection is not told of the connection's end, so the connection is asked. */
-	#requestsOf(socket: Socket): Set<number> {
-		const known = this.#connections.get(socket);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const entryIds = new Set<number>();
-		this.#connections.set(socket, entryIds);
-		socket.once('close', () => {
-			this.#connections.delete(socket);
-			[...entryIds].map(entryId => {
-				this.#takeOut(entryId);
-				return this.#definition.core.post({type: CoreMessageType.CallerGone, entryId});
-			});
-		});
-		return entryIds;
-	}
-
-	#takeOut(entryId: number): OpenRequest | undefined {
-		const open = this.#openRequests.get(entryId);
-		if (open !== undefined) {
-			this.#openRequests.delete(entryId);
-			this.#connections.get(open.socket)?.delete(entryId);
-		}
-
-		return open;
-	}
-
 	#answer(entryId: number, answer: CallerAnswer): void {
-		const open = this.#takeOut(entryId);
+		const open = this.#openRequests.take(entryId);
 		if (open === undefined) {
 			return;
 		}
 
-		const {response, startedAt, requestId} = open;
+		const {response, socket, startedAt, requestId} = open;
 		this.#definition.observeAnswer(answer.outcome, performance.now() - startedAt);
 
-		if (this.#isStopping) {
+		if (this.#isStopping && this.#openRequests.closeAfter(entryId, socket)) {
 			response.shouldKeepAlive = false;
 		}
 
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -110,6 +110,27 @@
 	t.same(gone().toSorted((left, right) => left - right), requestsOf(messages).map(({entryId}) => entryId));
 });
 
+test('a node that stops answers all that came on a connection before it closes it, and opens nothing more', async t => {
+	const {server, messages, told, answer, connect} = await start(t);
+	const socket = await connect();
+	const chunks: string[] = [];
+	socket.on('data', chunk => chunks.push(String(chunk)));
+	const ask = (name: string): string => `GET /${name} HTTP/1.1\r\nhost: h\r\nx-id: ${name}\r\n\r\n`;
+	socket.write(ask('one') + ask('two') + ask('three'));
+	await untilRequested(told, messages, 3);
+	server.closeAfterAnswers();
+	const [one, two, three] = requestsOf(messages).map(({entryId}) => entryId);
+	answer(three!, 'body of three;');
+	answer(two!, 'body of two;');
+	socket.write(ask('four'));
+	answer(one!, 'body of one;');
+	await once(socket, 'close');
+	t.same(chunks.join('').match(/connection: [\w-]+|body of \w+;/giu), [
+		'Connection: keep-alive', 'body of one;', 'Connection: keep-alive', 'body of two;', 'Connection: close', 'body of three;',
+	]);
+	t.equal(requestsOf(messages).length, 3);
+});
+
 test('a body comes whole and unchanged, whether its length is given or it is sent in chunks', async t => {
 	const {messages, told, connect} = await start(t);
 	const socket = await connect();
