Remove a released claim in one place, and end the search for ports

Cause: since a range removes a released claim whatever its role, the backup's own removal came second and did nothing. The search for free ports of the demo had no end where a whole block is taken, and its constants stood amid the functions. That room for a request is asked for before and after its body had no reason beside it.

Change: the backup only replies; the search tries each port of its block once and says what is short; the reason is stated. No check, bound or assertion is touched.

--- a/demo/src/processes.ts
+++ b/demo/src/processes.ts
@@ -13,6 +13,12 @@
 const stopMilliseconds = 10_000;
 const printMilliseconds = 60_000;
 
+/** Ports below those that the system gives to outgoing connections, in a block for each process that asks for some. */
+const firstPort = 10_000;
+const portsPerBlock = 100;
+const blockCount = 200;
+let lastOffset = -1;
+
 /** Processes that end with this one, also when it fails. */
 const running = new Set<ChildProcess>();
 
@@ -107,19 +113,17 @@
 	return {code, lines: started.lines};
 }
 
-/** Ports below those that the system gives to outgoing connections, in a block for each process that asks for some. */
-const firstPort = 10_000;
-const portsPerBlock = 100;
-const blockCount = 200;
-let lastOffset = -1;
-
 /**
  * Ports that nobody listens on now, and that neither an outgoing connection nor another process that asks at the same
  * time takes before they are used.
  */
 export async function findFreePorts(count: number): Promise<number[]> {
 	const ports: number[] = [];
-	while (ports.length < count) {
+	for (let tries = 0; ports.length < count; tries += 1) {
+		if (tries === portsPerBlock) {
+			throw new Error(`Fewer than ${count} of the ${portsPerBlock} ports of this process are free`);
+		}
+
 		lastOffset = (lastOffset + 1) % portsPerBlock;
 		const port = firstPort + ((process.pid % blockCount) * portsPerBlock) + lastOffset;
 		if (await isFree(port)) { // eslint-disable-line no-await-in-loop
--- a/packages/core/src/once/backup-role.ts
+++ b/packages/core/src/once/backup-role.ts
@@ -124,13 +124,11 @@
 		return [this.#reply(from, message, OnceMessageType.ClaimAcknowledged)];
 	}
 
+	/** The range has removed the claim already, whatever its role; only the reply depends on it. */
 	#receiveRelease(from: Holder, message: MessageOf<OnceMessageType.Release>, now: number): OnceEffect[] {
-		if (!this.#acknowledges(from, message.epoch, now)) {
-			return [this.#refuse(from, message, false)];
-		}
-
-		this.#definition.table.remove(message.key, message.id);
-		return [this.#reply(from, message, OnceMessageType.ReleaseAcknowledged)];
+		return [this.#acknowledges(from, message.epoch, now)
+			? this.#reply(from, message, OnceMessageType.ReleaseAcknowledged)
+			: this.#refuse(from, message, false)];
 	}
 
 	/** Claims are merged, so that a late or doubled copy of the message takes nothing away. */
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -141,6 +141,7 @@
 		}
 	}
 
+	/** Without room the body is not read at all; other requests may take the room while it is. */
 	async #handleBody(request: IncomingMessage, response: ServerResponse, url: string): Promise<void> {
 		this.#requireRoom();
 		this.#open(request, response, url, await readBody(request, this.#bodyBytes));
