Give tests ports that no other test and no connection takes

The report lists what the process still held, and the node's own server for its peers stood at 33417: the test had asked for three free ports one after the other, each found and closed before the next, and the system gave the same one twice. The second failure is the same test's time running out, since its node never stopped.

Ruled out: another process (the handle is the test's own), the stop that the test is about.

Change: the search that the demo has had since its ports were kept apart is a package of the stand-ins, and the node's tests use it: ports below those of outgoing connections, in a block for each process, none given twice until the block is through.

--- a/demo/src/system.ts
+++ b/demo/src/system.ts
@@ -8,10 +8,11 @@
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import {findFreePorts} from '@laburnumspool/standin-loopback';
 import {request} from 'undici';
 import {stringify} from 'yaml';
 import {
-	findFreePorts, runToEnd, startProcess, stopProcess, type Started,
+	runToEnd, startProcess, stopProcess, type Started,
 } from './processes.js';
 
 const root = fileURLToPath(new URL('../../', import.meta.url));
--- a/packages/node/src/tests/bad-input.test.ts
+++ b/packages/node/src/tests/bad-input.test.ts
@@ -2,15 +2,16 @@
 import {once} from 'node:events';
 import {createConnection} from 'node:net';
 import {frameHead, FrameType} from '@laburnumspool/protocol';
+import {findFreePorts} from '@laburnumspool/standin-loopback';
 import {test, type Test} from 'tap';
 import {request} from 'undici';
 import {
 	checkSettings, startDaemon, type Daemon, type Settings,
 } from '../index.js';
-import {freePort, silent, silentLog} from './fixtures.js';
+import {silent, silentLog} from './fixtures.js';
 
 async function start(t: Test): Promise<{daemon: Daemon; settings: Settings; callers: string; peers: string}> {
-	const [callers, peers, control, store] = [await freePort(), await freePort(), await freePort(), await freePort()];
+	const [callers, peers, control, store] = await findFreePorts(4);
 	const settings = checkSettings({
 		name: 'n', region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers, peers, control}, store: {url: `http://127.0.0.1:${store}`}, limits: {
 			requestBytes: 1000, openRequests: 100, slowSenderSeconds: 1, claims: 10, claimAnswerBytes: 1000, events: 100,
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -4,13 +4,14 @@
 import {
 	NodeEffectType, Outcome, type CallerRequest, type NodeEffect,
 } from '@laburnumspool/core';
+import {findFreePorts} from '@laburnumspool/standin-loopback';
 import {test, type Test} from 'tap';
 import {CallersServer} from '../callers-server.js';
 import {
 	CoreMessageType, type CoreMessage, type CoreTask, type EffectHandlers,
 } from '../core-task.js';
 import type {OwnInterface} from '../own-interface.js';
-import {freePort, silent} from './fixtures.js';
+import {silent} from './fixtures.js';
 
 type AnswerCaller = Extract<NodeEffect, {type: NodeEffectType.AnswerCaller}>;
 
@@ -34,8 +35,8 @@
 	const server = new CallersServer({
 		core, requestBytes: 100_000, openRequests: 100, slowSenderMilliseconds: 5000, headers: {timeLeft: 'x-time', requestId: 'x-id'}, service: 'catalogue', observeAnswer: silent, own: undefined as unknown as OwnInterface,
 	});
-	const port = await freePort();
-	await server.listen(port, '127.0.0.1');
+	const [port] = await findFreePorts(1);
+	await server.listen(port!, '127.0.0.1');
 	t.teardown(() => {
 		server.close();
 	});
@@ -52,7 +53,7 @@
 			handlers[NodeEffectType.AnswerCaller]?.(effect);
 		},
 		async connect() {
-			const socket = createConnection(port, '127.0.0.1');
+			const socket = createConnection(port!, '127.0.0.1');
 			socket.on('error', silent);
 			t.teardown(() => socket.destroy());
 			await once(socket, 'connect');
--- a/packages/node/src/tests/fixtures.ts
+++ b/packages/node/src/tests/fixtures.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import {once} from 'node:events';
-import {createServer} from 'node:net';
 import type {PartLog} from '../index.js';
 
 export const silent = (): void => undefined;
@@ -13,13 +11,3 @@
 export const silentLog: PartLog = {
 	error: silent, warn: silent, info: silent, debug: silent,
 };
-
-/** A port on loopback that nobody listens on. */
-export async function freePort(): Promise<number> {
-	const server = createServer().listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as {port: number};
-	server.close();
-	await once(server, 'close');
-	return port;
-}
--- a/packages/node/src/tests/stop.test.ts
+++ b/packages/node/src/tests/stop.test.ts
@@ -1,8 +1,9 @@
 import {once} from 'node:events';
 import {createServer, type ServerResponse} from 'node:http';
+import {findFreePorts} from '@laburnumspool/standin-loopback';
 import {test} from 'tap';
 import {checkSettings, startDaemon} from '../index.js';
-import {freePort, silentLog} from './fixtures.js';
+import {silentLog} from './fixtures.js';
 
 test('a stop does not wait for a store that is silent', async t => {
 	const arrivals = new EventTarget();
@@ -24,8 +25,9 @@
 		store.closeAllConnections();
 		store.close();
 	});
+	const [callers, peers, control] = await findFreePorts(3);
 	const settings = checkSettings({
-		name: 'n', region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers: await freePort(), peers: await freePort(), control: await freePort()}, store: {url: `http://127.0.0.1:${(store.address() as {port: number}).port}`}, stopSeconds: 1,
+		name: 'n', region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers, peers, control}, store: {url: `http://127.0.0.1:${(store.address() as {port: number}).port}`}, stopSeconds: 1,
 	});
 	const entered = once(arrivals, 'PUT');
 	const daemon = await startDaemon(settings, () => silentLog);
--- /dev/null
+++ b/standins/loopback/src/index.ts
@@ -0,0 +1,1 @@
+export {findFreePorts} from './free-ports.js';
