Split what grew along the way of a request

Change, behaviour the same: what a node does on its upstream's words is upstream-presence.ts, the versions that it hears of and pulls are version-news.ts, what it is told at its start is node-definition.ts; the bounds on a call's attempts are attempt-bounds.ts; the time of nested calls is nested-time.ts, with a test of its own; what an upstream's failure says is upstream-failures.ts; the parts of the virtual system are virtual-node.ts. The number of near peers asked for a manifest has a name.

--- a/benchmarks/src/policy.ts
+++ b/benchmarks/src/policy.ts
@@ -10,7 +10,8 @@
 } from '@laburnumspool/core';
 import {formatTable, seededRandom} from '@laburnumspool/load';
 import {cac} from 'cac';
-import {VirtualSystem, type VirtualService} from './virtual-system.js';
+import type {VirtualService} from './virtual-node.js';
+import {VirtualSystem} from './virtual-system.js';
 
 const calmUntil = 4000;
 const surgeUntil = 12_000;
--- a/benchmarks/src/tests/promises.test.ts
+++ b/benchmarks/src/tests/promises.test.ts
@@ -2,7 +2,8 @@
 import {
 	ErrorKind, EventType, NodeEffectType, Outcome, safeParseManifest, UpstreamFailure, UpstreamState, type CallerAnswer, type Manifest, type NodeEffect,
 } from '@laburnumspool/core';
-import {VirtualSystem, type MessageFate, type VirtualService} from '../virtual-system.js';
+import type {MessageFate, VirtualService} from '../virtual-node.js';
+import {VirtualSystem} from '../virtual-system.js';
 
 const result = safeParseManifest({
 	name: 'promises',
--- a/benchmarks/src/tests/routed-promises.test.ts
+++ b/benchmarks/src/tests/routed-promises.test.ts
@@ -2,7 +2,8 @@
 import {
 	ErrorKind, EventType, Outcome, safeParseManifest, UpstreamFailure, type CallerAnswer, type Manifest,
 } from '@laburnumspool/core';
-import {VirtualSystem, type VirtualService} from '../virtual-system.js';
+import type {VirtualService} from '../virtual-node.js';
+import {VirtualSystem} from '../virtual-system.js';
 
 const host = 'shop.example';
 const result = safeParseManifest({
--- a/packages/core/src/entry/entry.ts
+++ b/packages/core/src/entry/entry.ts
@@ -6,20 +6,16 @@
  */
 import {type CallIds} from '../action/call-id.js';
 import {cancelWaitMilliseconds, timeToHandDown} from '../action/deadline.js';
-import {RetryShare} from '../action/retry-share.js';
 import {CancelResult} from '../admission/work.js';
 import {answers, ErrorKind, Outcome} from '../errors.js';
 import {Importance} from '../importance.js';
-import {Semantics} from '../manifest/model.js';
 import type {AnswerFrame, CallError, CallFrame} from '../messages.js';
+import {AttemptBounds} from './attempt-bounds.js';
 import {
 	EntryEffectType, EntryPhase, LocateType, type Destination, type EntryEffect, type EntryRequest, type EntryState,
 } from './entry-call.js';
 import {SendFailure, type EntryDefinition} from './entry-definition.js';
 
-const keyedAskBound = 24;
-const criticalAskBound = 4;
-const ordinaryAskBound = 2;
 const primaryPauseMilliseconds = 50;
 
 /** Refusals of calls that have reached an upstream, and so count like retries. */
@@ -40,7 +36,7 @@
 	readonly #definition: EntryDefinition;
 	readonly #calls = new Map<number, EntryState>();
 	readonly #entryIdByCallId = new Map<string, number>();
-	readonly #shares = new Map<string, RetryShare>();
+	readonly #bounds: AttemptBounds;
 
 	readonly #phaseHandlers: Readonly<Record<EntryPhase, (state: EntryState, now: number) => EntryEffect[]>> = {
 		[EntryPhase.Locating]: (state, now) => this.#advanceLocating(state, now),
@@ -50,6 +46,7 @@
 
 	constructor(definition: EntryDefinition) {
 		this.#definition = definition;
+		this.#bounds = new AttemptBounds(definition);
 	}
 
 	/** Calls not answered yet. */
@@ -89,7 +86,7 @@
 		this.#closeSending(state);
 		state.request.account.giveBack(sending.part, frame.retriesSpent);
 		if (frame.error === undefined && frame.answer !== undefined) {
-			this.#shareOf(state.request.service).earn();
+			this.#bounds.earn(state.request.service);
 			return this.#answer(state, frame.outcome, undefined, frame);
 		}
 
@@ -270,15 +267,15 @@
 
 		const rule = answers[error.kind];
 		if (now < state.request.deadline && state.phase !== EntryPhase.Cancelling) {
-			if (outcome === Outcome.NotRun && isPassing && this.#mayAskAgain(state)) {
+			if (outcome === Outcome.NotRun && isPassing && this.#bounds.mayAskAgain(state)) {
 				return this.#askLater(state, error, now);
 			}
 
-			if (outcome === Outcome.NotRun && rule.askElsewhere && this.#mayAskAgain(state) && (!reachedKinds.has(error.kind) || this.#maySpendRetry(state))) {
+			if (outcome === Outcome.NotRun && rule.askElsewhere && this.#bounds.mayAskAgain(state) && (!reachedKinds.has(error.kind) || this.#bounds.maySpendRetry(state))) {
 				return this.#sendOn(state, now);
 			}
 
-			if (outcome === Outcome.Unknown && rule.retryable && this.#mayRetry(state)) {
+			if (outcome === Outcome.Unknown && rule.retryable && this.#bounds.mayRetry(state)) {
 				state.mayHaveRun = true;
 				return [{type: EntryEffectType.Retried, request: state.request, error}, ...this.#sendOn(state, now)];
 			}
@@ -287,16 +284,6 @@
 		return this.#answer(state, this.#finalOutcome(state, outcome), error);
 	}
 
-	/** A call proven not run may be offered to other nodes; less important work is offered to few. */
-	#mayAskAgain(state: EntryState): boolean {
-		state.asks += 1;
-		if (state.request.key !== undefined) {
-			return state.asks <= keyedAskBound;
-		}
-
-		return state.asks <= (state.request.importance === Importance.Critical ? criticalAskBound : ordinaryAskBound);
-	}
-
 	/** The primary of the key is changing: asks again once a newer record can have come. */
 	#askLater(state: EntryState, error: CallError, now: number): EntryEffect[] {
 		state.phase = EntryPhase.Locating;
@@ -304,21 +291,6 @@
 		return [{type: EntryEffectType.RangeOutdated, service: state.request.service, error}];
 	}
 
-	#mayRetry(state: EntryState): boolean {
-		return state.request.policy.semantics === Semantics.Idempotent && this.#maySpendRetry(state);
-	}
-
-	/** Whether another upstream may get the call, by the attempts of its kind, the share of the edge and the account of the action. */
-	#maySpendRetry(state: EntryState): boolean {
-		state.attempts += 1;
-		if (state.attempts >= (state.request.policy.attempts ?? Infinity)) {
-			return false;
-		}
-
-		const {retryShare = true, retryAccount = true} = this.#definition.mechanisms ?? {};
-		return (!retryShare || this.#shareOf(state.request.service).spend()) && (state.request.account.spend() || !retryAccount);
-	}
-
 	/** `not-run` is said only when no attempt may have run, and for a caller's key only on the word of its primary. */
 	#finalOutcome(state: EntryState, last: Outcome = Outcome.NotRun): Outcome {
 		if (last === Outcome.Ran) {
@@ -358,15 +330,4 @@
 		const entryId = this.#entryIdByCallId.get(callId);
 		return entryId === undefined ? undefined : this.#calls.get(entryId);
 	}
-
-	#shareOf(service: string): RetryShare {
-		const known = this.#shares.get(service);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const share = new RetryShare(this.#definition.retryShareEarned(), this.#definition.retryBurst);
-		this.#shares.set(service, share);
-		return share;
-	}
 }
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -24,7 +24,7 @@
 import {ServingEffectType, type ServingEffect} from '../serving/served-call.js';
 import {NodeEffectType, type EventMaker, type NodeEffect} from './effects.js';
 import {createLocator} from './locator.js';
-import type {NodeDefinition} from './node-core.js';
+import type {NodeDefinition} from './node-definition.js';
 import type {OnceEffects} from './once-effects.js';
 
 const spanDigits = 16;
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -3,19 +3,18 @@
  *
  * @module
  */
-import {allGuardMechanisms, Guard, type GuardMechanisms} from '../admission/guard.js';
+import {allGuardMechanisms, Guard} from '../admission/guard.js';
 import type {CancelResult} from '../admission/work.js';
-import type {EntryMechanisms, SendFailure} from '../entry/entry-definition.js';
+import type {SendFailure} from '../entry/entry-definition.js';
 import {ErrorKind, Outcome} from '../errors.js';
 import {EventType, type EventDetails} from '../events/event.js';
 import {HybridClock, type HybridTime} from '../events/hybrid-clock.js';
 import type {Revision} from '../manifest/adoption.js';
 import {UpstreamState, type Member} from '../membership/member.js';
-import {Membership, type MembershipTimes} from '../membership/membership.js';
+import {Membership} from '../membership/membership.js';
 import type {GossipMessage} from '../membership/messages.js';
 import {manifestTopic, rangesTopic} from '../membership/rumors.js';
 import type {AnswerFrame, AnswerPayload, CallFrame} from '../messages.js';
-import type {ClaimBounds} from '../once/claim-table.js';
 import type {OnceMessage} from '../once/messages.js';
 import type {WriteResult} from '../once/once-definition.js';
 import {Once} from '../once/once.js';
@@ -23,48 +22,20 @@
 import {holderOf, type Holder, type VersionedRecord} from '../once/record.js';
 import {Router} from '../routing/router.js';
 import type {UpstreamFailure} from '../serving/served-call.js';
-import {UpstreamTracker} from '../upstream/upstream-tracker.js';
 import {CallFlow} from './call-flow.js';
 import {toEntryRequest} from './caller-requests.js';
 import {
-	AnnouncedState, NodeEffectType, type Announcement, type CallerRequest, type NodeEffect, type Withdrawal,
+	NodeEffectType, type Announcement, type CallerRequest, type NodeEffect, type Withdrawal,
 } from './effects.js';
 import {ManifestInForce} from './manifest-in-force.js';
 import {MembershipEffects} from './membership-effects.js';
+import type {NodeDefinition} from './node-definition.js';
 import {OnceEffects} from './once-effects.js';
+import {UpstreamPresence} from './upstream-presence.js';
+import {VersionNews} from './version-news.js';
 
-const announcementLifeMilliseconds = 5000;
-
-/** Longer than an upstream goes on serving after it said that it leaves, and than its words are late. */
-const doubtMilliseconds = 6000;
 const slowIntervalMilliseconds = 100;
 
-/** Everything that a node has to be told at its start. */
-export type NodeDefinition = {
-	readonly own: Member;
-	/** Wall-clock time in milliseconds; used for the time line and for keys that carry their time. */
-	readonly wallClock: () => number;
-	/** Evenly distributed numbers in [0, 1). */
-	readonly random: () => number;
-	readonly newActionId: () => string;
-	readonly membershipTimes: MembershipTimes;
-	readonly claimBounds: ClaimBounds;
-	readonly withoutStoreMilliseconds: number;
-	readonly clockErrorMilliseconds: number;
-	readonly guardMechanisms?: GuardMechanisms;
-	readonly entryMechanisms?: EntryMechanisms;
-	/** Share of the announced slots that is used at most. */
-	readonly slotShare?: number;
-	/** Retries towards one service: those at hand at the start, and the share that a success earns in place of the manifest's. */
-	readonly retries?: {readonly burst: number; readonly share?: number | undefined};
-};
-
-const announcedStates: Readonly<Record<AnnouncedState, UpstreamState>> = {
-	[AnnouncedState.Starting]: UpstreamState.Starting,
-	[AnnouncedState.Ready]: UpstreamState.Ready,
-	[AnnouncedState.Draining]: UpstreamState.Draining,
-};
-
 /**
  * One node. Times are milliseconds on one clock that never runs backwards.
  *
@@ -85,10 +56,8 @@
 	readonly #flow: CallFlow;
 	readonly #membership: Membership;
 	readonly #membershipEffects: MembershipEffects;
-	readonly #upstream = new UpstreamTracker();
-	#isLeaving = false;
-	#announcedAt = -Infinity;
-	#announcedState: AnnouncedState | undefined;
+	readonly #presence: UpstreamPresence;
+	readonly #versions: VersionNews;
 	#nextSlowAt = 0;
 	#lastLimit = 0;
 
@@ -98,6 +67,7 @@
 		this.#router = new Router(definition.own, definition.random);
 		this.#guard = new Guard(1, definition.guardMechanisms ?? allGuardMechanisms);
 		this.#membership = new Membership({own: definition.own, random: definition.random, times: definition.membershipTimes});
+		this.#versions = new VersionNews({manifest: this.#manifest, directory: this.#directory, membership: this.#membership});
 		this.#once = this.#createOnce();
 		const makeEvent = (details: EventDetails): NodeEffect => this.#event(details);
 		this.#membershipEffects = new MembershipEffects({clock: this.#clock, makeEvent});
@@ -114,6 +84,18 @@
 			onceEffects: new OnceEffects({own: holderOf(definition.own), membership: this.#membership, makeEvent}),
 			makeEvent,
 		});
+		this.#presence = new UpstreamPresence({
+			guard: this.#guard,
+			membership: this.#membership,
+			once: this.#once,
+			flow: this.#flow,
+			slotShare: definition.slotShare ?? 1,
+			fromMembership: (effects, now) => this.#fromMembership(effects, now),
+			serviceAnnounced: () => {
+				this.#setOnceService();
+			},
+			makeEvent,
+		});
 	}
 
 	get own(): Member {
@@ -147,12 +129,12 @@
 
 	/** Whether a leaving node has nothing left to finish. */
 	get mayStop(): boolean {
-		return this.#isLeaving && this.openCalls === 0 && this.#guard.isIdle && this.#once.hasLeft;
+		return this.#presence.isLeaving && this.openCalls === 0 && this.#guard.isIdle && this.#once.hasLeft;
 	}
 
 	/** Incarnation of the upstream that announced itself last. */
 	get upstreamInstance(): string | undefined {
-		return this.#upstream.instance;
+		return this.#presence.instance;
 	}
 
 	/** Whether requests are found by host and path prefix, and not by the service that their path names. */
@@ -186,14 +168,14 @@
 	/** A call of another node has come. */
 	callArrived(frame: CallFrame, clock: HybridTime, now: number): NodeEffect[] {
 		this.#clock.observe(clock);
-		const heard = this.#hearRevision(frame.revision, now);
+		const heard = this.#versions.hearRevision(frame.revision, now);
 		return [...heard, ...this.#flow.fromServing(this.#flow.serving.receive(frame, now), now)];
 	}
 
 	/** The answer to a call of this node has come. */
 	callAnswered(frame: AnswerFrame, clock: HybridTime, now: number): NodeEffect[] {
 		this.#clock.observe(clock);
-		const heard = this.#hearRevision(frame.serving.revision, now);
+		const heard = this.#versions.hearRevision(frame.serving.revision, now);
 		return [...heard, ...this.#flow.fromEntry(this.#flow.entry.receive(frame, now), now)];
 	}
 
@@ -220,35 +202,17 @@
 
 	/** The upstream has announced itself. Announcements that a later word has overtaken are passed over. */
 	announced(announcement: Announcement, now: number): NodeEffect[] {
-		const isNewIncarnation = this.#upstream.isNewIncarnation(announcement);
-		if (!this.#upstream.take(announcement, now)) {
-			return [this.#event({type: EventType.AnnouncementPassedOver, service: announcement.service, detail: `${announcement.instance ?? ''} ${announcement.sequence ?? ''} ${announcement.state}`})];
-		}
-
-		const isRestart = isNewIncarnation || (announcement.state === AnnouncedState.Ready && this.#announcedState !== AnnouncedState.Ready);
-		this.#announcedAt = now;
-		this.#announcedState = announcement.state;
-		this.#guard.limit.setSlots(Math.max(1, Math.floor(announcement.slots * (this.#definition.slotShare ?? 1))));
-		this.#guard.limit.report(announcement.load?.healthy ?? true, (announcement.load?.inFlight ?? 0) - this.#guard.inFlight);
-		if (isRestart) {
-			this.#guard.limit.restart(now);
-		}
-
-		const changed = this.#membership.updateOwn({service: announcement.service, slots: announcement.slots}, now);
-		this.#setOnceService();
-		const state = this.#isLeaving ? UpstreamState.Draining : announcedStates[announcement.state];
-		return [{type: NodeEffectType.UpstreamAnnounced, announcement}, ...this.#fromMembership(changed, now), ...this.#setState(state, now)];
+		return this.#presence.announced(announcement, now);
 	}
 
 	/** The upstream, asked at the node's start, does not serve: it may be leaving, which an earlier life of the node has acknowledged. */
 	upstreamDoubted(instance: string, now: number): NodeEffect[] {
-		this.#upstream.doubt(instance, now + doubtMilliseconds);
-		return [this.#event({type: EventType.UpstreamDoubted, service: this.own.service, detail: instance})];
+		return this.#presence.doubted(instance, now);
 	}
 
 	/** The upstream has withdrawn: it gets no new work any more. */
 	withdrawn(withdrawal: Withdrawal, now: number): NodeEffect[] {
-		return this.#upstream.withdraw(withdrawal) ? this.#silence(now) : [];
+		return this.#presence.withdrawn(withdrawal, now);
 	}
 
 	gossipArrived(message: GossipMessage, clock: HybridTime, now: number): NodeEffect[] {
@@ -305,8 +269,7 @@
 
 	/** Begins a planned stop: no new work for the upstream, ranges handed over, everything in flight finished. */
 	leave(now: number): NodeEffect[] {
-		this.#isLeaving = true;
-		return this.#setState(UpstreamState.Draining, now);
+		return this.#presence.leave(now);
 	}
 
 	/** Tells the others that the node has left; the last thing before it stops. */
@@ -361,34 +324,10 @@
 			this.#once.setMembers(this.#membership.members);
 		}
 
-		const heard = this.#membershipEffects.heardVersions(effects).flatMap(rumor => this.#heardVersion(rumor.topic, rumor.version, now));
+		const heard = this.#membershipEffects.heardVersions(effects).flatMap(rumor => this.#versions.hear(rumor.topic, rumor.version, now));
 		return [...this.#membershipEffects.carryOut(effects), ...heard];
 	}
 
-	#heardVersion(topic: string, version: number, now: number): NodeEffect[] {
-		if (topic === manifestTopic) {
-			return this.#hearRevision(version, now);
-		}
-
-		const service = topic.slice(topic.indexOf('/') + 1);
-		const isWanted = service === this.own.service || this.#directory.version(service) > 0;
-		if (isWanted && version > this.#directory.version(service)) {
-			this.#directory.want(service);
-		}
-
-		return [];
-	}
-
-	#hearRevision(number: number, now: number): NodeEffect[] {
-		return this.#manifest.hear(number, now) ? this.#pullManifest() : [];
-	}
-
-	#pullManifest(): NodeEffect[] {
-		const {region} = this.own.location;
-		const near = this.#membership.choose(2, member => member.location.region === region);
-		return [{type: NodeEffectType.PullManifest, from: [...near, ...this.#membership.choose(1)]}];
-	}
-
 	#releaseHeld(now: number): NodeEffect[] {
 		return this.#manifest.release(now).flatMap(caller => this.callerRequested(caller, now));
 	}
@@ -409,39 +348,13 @@
 		this.#once.setMembers(this.#membership.members);
 	}
 
-	#setState(state: UpstreamState, now: number): NodeEffect[] {
-		const refused = state === UpstreamState.Draining ? this.#flow.fromServing(this.#flow.serving.stopAccepting(now), now) : [];
-		if (state !== UpstreamState.Draining) {
-			this.#guard.resumeAccepting();
-		}
-
-		this.#once.setLeaving(state === UpstreamState.Draining);
-		return [...this.#fromMembership(this.#membership.updateOwn({state}, now), now), ...refused];
-	}
-
-	#silence(now: number): NodeEffect[] {
-		this.#announcedState = undefined;
-		return this.#setState(UpstreamState.Draining, now);
-	}
-
 	#advanceSlowly(now: number): NodeEffect[] {
-		const isSilent = this.#announcedState !== undefined && now - this.#announcedAt > announcementLifeMilliseconds;
-		const silenced = isSilent ? this.#silence(now) : [];
+		const silenced = this.#presence.advance(now);
 		const membership = this.#fromMembership(this.#membership.advance(now), now);
 		const once = this.#flow.fromServing(this.#flow.serving.fromOnce(this.#once.advance(now), now), now);
-		const pulls = this.#directory.takePulls(now).flatMap(service => this.#pullRecord(service));
-		const behind = this.#manifest.isPullDue(now) ? this.#pullManifest() : [];
+		const pulls = this.#versions.advance(now);
 		const held = this.#releaseHeld(now);
-		return [...silenced, ...membership, ...once, ...pulls, ...behind, ...held, ...this.#limitEvent()];
-	}
-
-	#pullRecord(service: string): NodeEffect[] {
-		if (service === this.own.service) {
-			return [{type: NodeEffectType.ReadRecord, service}];
-		}
-
-		const [from] = this.#membership.choose(1, member => member.service === service);
-		return from === undefined ? [] : [{type: NodeEffectType.PullRecord, service, from}];
+		return [...silenced, ...membership, ...once, ...pulls, ...held, ...this.#limitEvent()];
 	}
 
 	#limitEvent(): NodeEffect[] {
--- a/packages/core/src/serving/served-call.ts
+++ b/packages/core/src/serving/served-call.ts
@@ -8,6 +8,7 @@
 import type {ErrorKind} from '../errors.js';
 import type {AnswerFrame, CallFrame} from '../messages.js';
 import type {OnceEffect} from '../once/messages.js';
+import type {NestedTime} from './nested-time.js';
 
 /** How an upstream failed to give a whole answer. */
 export enum UpstreamFailure {
@@ -57,7 +58,5 @@
 	isDispatched: boolean;
 	/** Why the guard wanted the dispatched call cancelled. */
 	cancelReason: ErrorKind | undefined;
-	nestedCount: number;
-	nestedSince: number;
-	nestedMilliseconds: number;
+	readonly nested: NestedTime;
 };
--- a/packages/core/src/serving/serving.ts
+++ b/packages/core/src/serving/serving.ts
@@ -15,23 +15,16 @@
 import {OnceEffectType, type OnceEffect} from '../once/messages.js';
 import type {Once} from '../once/once.js';
 import {OpenResultType, type OnceCall} from '../once/attempt.js';
+import {NestedTime} from './nested-time.js';
 import {
 	ServingEffectType, UpstreamFailure, type ServedCall, type ServingEffect,
 } from './served-call.js';
+import {dispatchedFailures, notRunFailures, type NotRunFailure} from './upstream-failures.js';
 
 const answeredKeepMilliseconds = 30_000;
 const answeredMaximumEntries = 50_000;
 const shedStatuses: ReadonlySet<number> = new Set([429, 503]);
 
-type NotRunFailure = {readonly kind: ErrorKind; readonly detail: string; readonly end: DispatchEnd};
-
-/** Failures that prove that the upstream did not run the call. */
-const notRunFailures: Readonly<Partial<Record<UpstreamFailure, NotRunFailure>>> = {
-	[UpstreamFailure.NotConnected]: {kind: ErrorKind.UpstreamBroken, detail: 'No connection to the upstream', end: DispatchEnd.Broken},
-	[UpstreamFailure.Refused]: {kind: ErrorKind.UpstreamRefused, detail: 'The upstream refused the call', end: DispatchEnd.Shed},
-	[UpstreamFailure.OtherInstance]: {kind: ErrorKind.NotServed, detail: 'Another incarnation stands at the address', end: DispatchEnd.Broken},
-};
-
 export type ServingDefinition = {
 	readonly guard: Guard;
 	readonly once: Once;
@@ -146,23 +139,11 @@
 
 	/** A call of the upstream on behalf of this one has begun: its time does not count against the upstream. */
 	nestedStarted(callId: string, now: number): void {
-		const call = this.#calls.get(callId);
-		if (call === undefined) {
-			return;
-		}
-
-		call.nestedSince = call.nestedCount === 0 ? now : call.nestedSince;
-		call.nestedCount += 1;
+		this.#calls.get(callId)?.nested.start(now);
 	}
 
 	nestedEnded(callId: string, now: number): void {
-		const call = this.#calls.get(callId);
-		if (call === undefined || call.nestedCount === 0) {
-			return;
-		}
-
-		call.nestedCount -= 1;
-		call.nestedMilliseconds += call.nestedCount === 0 ? now - call.nestedSince : 0;
+		this.#calls.get(callId)?.nested.end(now);
 	}
 
 	/** Carries out what at-most-once work wants for calls of this node. */
@@ -199,9 +180,7 @@
 			account: new RetryAccount(frame.retries),
 			isDispatched: false,
 			cancelReason: undefined,
-			nestedCount: 0,
-			nestedSince: 0,
-			nestedMilliseconds: 0,
+			nested: new NestedTime(),
 		};
 	}
 
@@ -318,20 +297,15 @@
 	}
 
 	#failDispatched(call: ServedCall, failure: UpstreamFailure, now: number): ServingEffect[] {
-		const failures: Readonly<Partial<Record<UpstreamFailure, {kind: ErrorKind; outcome: Outcome; end: DispatchEnd}>>> = {
-			[UpstreamFailure.Broken]: {kind: ErrorKind.UpstreamBroken, outcome: Outcome.Unknown, end: DispatchEnd.Broken},
-			[UpstreamFailure.TooLarge]: {kind: ErrorKind.AnswerTooLarge, outcome: Outcome.Ran, end: DispatchEnd.Answered},
-			[UpstreamFailure.Cancelled]: {kind: call.cancelReason ?? ErrorKind.Cancelled, outcome: Outcome.Unknown, end: DispatchEnd.Cancelled},
-		};
-		const {kind, outcome, end} = failures[failure]!;
+		const {kind: failureKind, outcome, end} = dispatchedFailures[failure]!;
+		const kind = failure === UpstreamFailure.Cancelled ? call.cancelReason ?? failureKind : failureKind;
 		const finished = this.#finish(call, end, undefined, now);
 		const error = {kind, detail: `The upstream of ${call.frame.service} gave no whole answer`};
 		return [...this.#answer(call, outcome, undefined, error, false, now), ...finished];
 	}
 
 	#finish(call: ServedCall, end: DispatchEnd, answer: AnswerPayload | undefined, now: number): ServingEffect[] {
-		const openNested = call.nestedCount > 0 ? now - call.nestedSince : 0;
-		const freed = this.#definition.guard.finish(call.frame.callId, end, call.nestedMilliseconds + openNested, now);
+		const freed = this.#definition.guard.finish(call.frame.callId, end, call.nested.total(now), now);
 		const onceCall = toOnceCall(call);
 		const settled = onceCall === undefined ? [] : this.#definition.once.finished(onceCall, answer, now);
 		return [...this.fromOnce(settled, now), ...this.#fromGuard(freed, now)];
