Keep most gossip in its region

Ruled out: manifests (14 KB between regions; 36 of 39 pulls stay in the region), renewals of leases (5 KB).

Change: one probe in four goes to another region, the others round the members of the own one; a near member is asked for through near ones first. A round of news sends to three members as before, one of them in another region when the news is of the own node, and in a third of the other rounds; a node that is alone in its region sends to any three.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,7 +32,7 @@
 export type * from './messages.js';
 export * from './node/effects.js';
 export * from './node/node-core.js';
-export * from './node/node-definition.js';
+export type * from './node/node-definition.js';
 export * from './once/attempt.js';
 export * from './once/claim-table.js';
 export * from './once/key-range.js';
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -19,6 +19,9 @@
 
 const newsIntervalMilliseconds = 200;
 const newsFanOut = 3;
+
+/** Share of the rounds in which news of others goes to another region as well; news of the own node always does. */
+const farNewsShare = 1 / 3;
 const membersPerMessage = 7;
 const rumorsPerMessage = 8;
 
@@ -72,6 +75,7 @@
 			intervalMilliseconds: definition.times.probeIntervalMilliseconds,
 			random: definition.random,
 			members: () => this.others,
+			isNear: member => this.#isNear(member),
 		});
 	}
 
@@ -294,7 +298,19 @@
 		}
 
 		this.#nextNewsAt = now + newsIntervalMilliseconds;
-		return this.choose(newsFanOut).map(member => this.#send(addressOf(member), GossipType.News, 0));
+		return this.#chooseForNews().map(member => this.#send(addressOf(member), GossipType.News, 0));
+	}
+
+	/** Links between regions are paid by volume, so most news stays in the region and spreads anew in the others. */
+	#chooseForNews(): Member[] {
+		const isFarRound = this.#memberNews.has(this.#own.name) || this.#definition.random() < farNewsShare;
+		const far = isFarRound ? this.choose(1, member => !this.#isNear(member)) : [];
+		const near = this.choose(newsFanOut - far.length, member => this.#isNear(member));
+		return near.length > 0 ? [...near, ...far] : this.choose(newsFanOut);
+	}
+
+	#isNear(member: Member): boolean {
+		return member.location.region === this.#own.location.region;
 	}
 
 	#exchange(now: number): MembershipEffect[] {
--- a/packages/core/src/membership/news.ts
+++ b/packages/core/src/membership/news.ts
@@ -20,6 +20,10 @@
 		return this.#sendsLeft.size === 0;
 	}
 
+	has(name: string): boolean {
+		return this.#sendsLeft.has(name);
+	}
+
 	/**
 	 * @param memberCount - number of members that the item has to reach
 	 */
--- a/packages/core/src/membership/prober.ts
+++ b/packages/core/src/membership/prober.ts
@@ -11,6 +11,9 @@
 const pauseFactor = 2;
 const relayKeepMilliseconds = 5000;
 
+/** One probe in so many goes to another region: its own members watch each other, and links between regions are paid by volume. */
+const farTurnEvery = 4;
+
 /** A probe that this node makes for another. */
 export type Relay = {
 	readonly address: Address;
@@ -31,12 +34,14 @@
 	readonly intervalMilliseconds: number;
 	readonly random: () => number;
 	readonly members: () => readonly Member[];
+	/** Whether a member stands in the own region. */
+	readonly isNear: (member: Member) => boolean;
 };
 
 type Probe = {readonly name: string; readonly sequence: number; readonly startedAt: number; isIndirect: boolean};
 
 /**
- * Goes through the members in random order, one an interval.
+ * Goes through the members in random order, one an interval; those of other regions have fewer turns.
  *
  * @example
  * const step = prober.advance(now);
@@ -45,7 +50,8 @@
 export class Prober {
 	readonly #definition: ProberDefinition;
 	readonly #relays = new Map<number, {readonly relay: Relay; readonly name: string}>();
-	#round: string[] = [];
+	readonly #rounds: {near: string[]; far: string[]} = {near: [], far: []};
+	#turn = 0;
 	#probe: Probe | undefined;
 	#sequence = 0;
 	#nextTurnAt = 0;
@@ -126,16 +132,34 @@
 		}
 
 		probe.isIndirect = true;
-		const others = this.#definition.members().map(member => member.name).filter(name => name !== probe.name);
-		const through = this.#shuffle(others).slice(0, helperCount);
+		const through = this.#helpersFor(probe.name);
 		return through.length === 0 ? [] : [{name: probe.name, sequence: probe.sequence, through}];
 	}
 
+	/** A near member is asked for through near ones first; a far one through any, whose way there may be another. */
+	#helpersFor(target: string): string[] {
+		const others = this.#definition.members().filter(member => member.name !== target);
+		const isNearTarget = this.#definition.members().some(member => member.name === target && this.#definition.isNear(member));
+		const [first, second] = isNearTarget ? this.#byDistance(others) : [namesOf(others), []];
+		return [...this.#shuffle(first), ...this.#shuffle(second)].slice(0, helperCount);
+	}
+
 	#nextName(): string | undefined {
-		const names = new Set(this.#definition.members().map(member => member.name));
-		const known = this.#round.filter(name => names.has(name));
-		this.#round = known.length > 0 ? known : this.#shuffle([...names]);
-		return this.#round.shift();
+		const [near, far] = this.#byDistance(this.#definition.members());
+		this.#turn += 1;
+		const isFarTurn = near.length === 0 || (far.length > 0 && this.#turn % farTurnEvery === 0);
+		return this.#nextOf(isFarTurn ? 'far' : 'near', isFarTurn ? far : near);
+	}
+
+	#nextOf(group: 'near' | 'far', names: readonly string[]): string | undefined {
+		const present = new Set(names);
+		const known = this.#rounds[group].filter(name => present.has(name));
+		this.#rounds[group] = known.length > 0 ? known : this.#shuffle(names);
+		return this.#rounds[group].shift();
+	}
+
+	#byDistance(members: readonly Member[]): [near: string[], far: string[]] {
+		return [namesOf(members.filter(member => this.#definition.isNear(member))), namesOf(members.filter(member => !this.#definition.isNear(member)))];
 	}
 
 	#shuffle(names: readonly string[]): string[] {
@@ -153,3 +177,7 @@
 		}
 	}
 }
+
+function namesOf(members: readonly Member[]): string[] {
+	return members.map(({name}) => name);
+}
