Let the upstream stand-in spoil a share of its answers, and withdraw

Cause: the stand-in knew five faults, of all its requests or none, and could not say that it leaves and then withdraw while its node lives on.

Change: half of a chunked or an unframed answer, a second answer, an answer in another request's name and an endless one, for a share of the requests; each answer repeats the request's name and is signed; starts of work are counted by the request's name; the state 'withdrawn' takes the announcement back.

Conclusion: what a soak of real processes needs.

--- a/standins/upstream/src/index.ts
+++ b/standins/upstream/src/index.ts
@@ -1,1 +1,2 @@
+export * from './faulty-answers.js';
 export * from './upstream-server.js';
--- a/standins/upstream/src/upstream-server.ts
+++ b/standins/upstream/src/upstream-server.ts
@@ -9,10 +9,24 @@
 } from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {Agent, request as sendRequest} from 'undici';
+import {faultyAnswers, UpstreamFault} from './faulty-answers.js';
 
 const announceMilliseconds = 500;
 const shedFactor = 2;
 const standardBodyBytes = 200;
+const stuckMilliseconds = 3_600_000;
+const announcementPath = '/laburnumspool/v1/upstream';
+
+/** States that an upstream announces. */
+export type AnnouncedState = 'starting' | 'ready' | 'draining';
+
+/** What the control interface changes. */
+type Change = {
+	readonly fault?: UpstreamFault;
+	readonly faultShare?: number;
+	readonly slowFactor?: number;
+	readonly state?: AnnouncedState | 'withdrawn';
+};
 
 /** A call to a deeper service. */
 export type InnerCall = {readonly method: string; readonly service: string; readonly path: string};
@@ -26,19 +40,6 @@
 	readonly calls?: readonly InnerCall[];
 };
 
-/** How the stand-in misbehaves. */
-export enum UpstreamFault {
-	None = 'none',
-	/** Never answers. */
-	Stuck = 'stuck',
-	/** Closes the connection before the work. */
-	ResetBefore = 'reset-before',
-	/** Works, then closes the connection. */
-	ResetAfter = 'reset-after',
-	/** Sends half of the announced body, then closes. */
-	HalfAnswer = 'half-answer',
-}
-
 export type UpstreamDefinition = {
 	readonly service: string;
 	readonly slots: number;
@@ -57,6 +58,8 @@
 	/** Starts of work by idempotency key; above 1 is a repeat. */
 	readonly byKey: Map<string, number>;
 	readonly byPath: Map<string, number>;
+	/** Starts of work by the caller's name for the request. */
+	readonly byRequest: Map<string, number>;
 };
 
 /**
@@ -69,15 +72,18 @@
  */
 export class UpstreamServer {
 	readonly counters: UpstreamCounters = {
-		started: 0, finished: 0, cancelled: 0, shed: 0, byKey: new Map(), byPath: new Map(),
+		started: 0, finished: 0, cancelled: 0, shed: 0, byKey: new Map(), byPath: new Map(), byRequest: new Map(),
 	};
 
 	fault = UpstreamFault.None;
+	/** Share of the requests that the fault hits. */
+	faultShare = 1;
 	slowFactor = 1;
 	readonly #definition: UpstreamDefinition;
 	readonly #server: Server;
 	readonly #agent = new Agent({connections: 256, pipelining: 1});
 	#inFlight = 0;
+	#faultCredit = 0;
 	#announcing: NodeJS.Timeout | undefined;
 
 	constructor(definition: UpstreamDefinition) {
@@ -104,7 +110,7 @@
 	}
 
 	/** Announces the state to the own node, again and again. */
-	announce(state: 'starting' | 'ready' | 'draining'): void {
+	announce(state: AnnouncedState): void {
 		clearInterval(this.#announcing);
 		const send = (): void => {
 			void this.#announceOnce(state);
@@ -114,6 +120,17 @@
 		this.#announcing = setInterval(send, announceMilliseconds);
 	}
 
+	/** Takes the announcement back, once. */
+	async withdraw(): Promise<void> {
+		clearInterval(this.#announcing);
+		try {
+			const answer = await sendRequest(`http://${this.#definition.node}${announcementPath}`, {method: 'DELETE', dispatcher: this.#agent});
+			await answer.body.dump();
+		} catch {
+			// A node that is away forgets the upstream, since nothing is announced any more.
+		}
+	}
+
 	async close(): Promise<void> {
 		clearInterval(this.#announcing);
 		this.#server.closeAllConnections();
@@ -127,7 +144,7 @@
 			service, address: `127.0.0.1:${this.port}`, slots, connections, state, load: {inFlight: this.#inFlight, healthy: true},
 		});
 		try {
-			const answer = await sendRequest(`http://${node}/laburnumspool/v1/upstream`, {method: 'PUT', body, dispatcher: this.#agent});
+			const answer = await sendRequest(`http://${node}${announcementPath}`, {method: 'PUT', body, dispatcher: this.#agent});
 			await answer.body.dump();
 		} catch {
 			// The node is not there yet; the next announcement comes soon.
@@ -157,14 +174,15 @@
 	}
 
 	async #work(request: IncomingMessage, response: ServerResponse, url: string): Promise<void> {
-		if (this.fault === UpstreamFault.ResetBefore) {
+		const fault = this.#nextFault();
+		if (fault === UpstreamFault.ResetBefore) {
 			request.socket.destroy();
 			return;
 		}
 
 		const behaviour = this.#definition.behaviours.find(candidate => url.startsWith(candidate.prefix));
 		this.#count(request, behaviour?.prefix ?? url);
-		const isHere = await this.#spend(behaviour?.milliseconds ?? 1, response);
+		const isHere = await this.#spend(fault === UpstreamFault.Stuck ? stuckMilliseconds : behaviour?.milliseconds ?? 1, response);
 		const innerStatus = isHere ? await this.#callInner(request, behaviour?.calls ?? []) : 499;
 		if (!isHere || response.destroyed) {
 			this.counters.cancelled += 1;
@@ -172,23 +190,21 @@
 		}
 
 		this.counters.finished += 1;
-		this.#answer(request, response, innerStatus, behaviour?.bodyBytes ?? standardBodyBytes);
+		this.#answer(request, response, {fault, innerStatus, bodyBytes: behaviour?.bodyBytes ?? standardBodyBytes});
 	}
 
 	#count(request: IncomingMessage, path: string): void {
-		const {byKey, byPath} = this.counters;
+		const {byKey, byPath, byRequest} = this.counters;
 		this.counters.started += 1;
-		byPath.set(path, (byPath.get(path) ?? 0) + 1);
-		const key = request.headers['idempotency-key'];
-		if (typeof key === 'string') {
-			byKey.set(key, (byKey.get(key) ?? 0) + 1);
-		}
+		increment(byPath, path);
+		increment(byKey, request.headers['idempotency-key']);
+		increment(byRequest, request.headers['x-request-id']);
 	}
 
 	/** Works for a while; more calls than slots make all of them slower. False when the caller has gone. */
 	async #spend(milliseconds: number, response: ServerResponse): Promise<boolean> {
 		const excess = Math.max(1, this.#inFlight / this.#definition.slots);
-		const time = this.fault === UpstreamFault.Stuck ? 3_600_000 : milliseconds * this.slowFactor * excess;
+		const time = milliseconds * this.slowFactor * excess;
 		return new Promise(resolve => {
 			const timer = setTimeout(() => {
 				resolve(true);
@@ -217,35 +233,47 @@
 		}
 	}
 
-	#answer(request: IncomingMessage, response: ServerResponse, innerStatus: number, bodyBytes: number): void {
-		if (this.fault === UpstreamFault.ResetAfter) {
-			request.socket.destroy();
-			return;
-		}
-
+	#answer(request: IncomingMessage, response: ServerResponse, {fault, innerStatus, bodyBytes}: {readonly fault: UpstreamFault; readonly innerStatus: number; readonly bodyBytes: number}): void {
 		const id = String(request.headers['x-request-id'] ?? '');
 		const body = JSON.stringify({id, service: this.#definition.service, padding: '.'.repeat(bodyBytes)});
-		response.writeHead(innerStatus >= 400 ? 502 : 200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)});
-		if (this.fault === UpstreamFault.HalfAnswer) {
-			response.write(body.slice(0, body.length / 2), () => {
-				request.socket.destroy();
-			});
+		const status = innerStatus >= 400 ? 502 : 200;
+		const headers = {'content-type': 'application/json', 'x-request-id': id, 'x-signature': this.#definition.service};
+		const faulty = faultyAnswers[fault];
+		if (faulty !== undefined) {
+			faulty(request.socket, {status, headers, body});
 			return;
 		}
 
+		response.writeHead(status, {...headers, 'content-length': Buffer.byteLength(body)});
 		response.end(body);
 	}
 
+	/** Spreads the fault evenly over the requests. */
+	#nextFault(): UpstreamFault {
+		this.#faultCredit += this.faultShare;
+		if (this.#faultCredit < 1) {
+			return UpstreamFault.None;
+		}
+
+		this.#faultCredit -= 1;
+		return this.fault;
+	}
+
+	#change({fault, faultShare, slowFactor, state}: Change): void {
+		this.fault = fault ?? this.fault;
+		this.faultShare = faultShare ?? this.faultShare;
+		this.slowFactor = slowFactor ?? this.slowFactor;
+		if (state === 'withdrawn') {
+			void this.withdraw();
+		} else if (state !== undefined) {
+			this.announce(state);
+		}
+	}
+
 	#control(url: string, body: Buffer, response: ServerResponse): void {
 		const handlers: Readonly<Record<string, () => unknown>> = {
 			'/control/behaviour': () => {
-				const {fault, slowFactor, state} = JSON.parse(body.toString('utf8')) as {fault?: UpstreamFault; slowFactor?: number; state?: 'starting' | 'ready' | 'draining'};
-				this.fault = fault ?? this.fault;
-				this.slowFactor = slowFactor ?? this.slowFactor;
-				if (state !== undefined) {
-					this.announce(state);
-				}
-
+				this.#change(JSON.parse(body.toString('utf8')) as Change);
 				return {};
 			},
 			'/control/counters': () => ({
@@ -255,7 +283,9 @@
 				repeats: [...this.counters.byKey.values()].filter(count => count > 1).length,
 				byKey: undefined,
 				byPath: Object.fromEntries(this.counters.byPath),
+				byRequest: undefined,
 			}),
+			'/control/requests': () => Object.fromEntries(this.counters.byRequest),
 		};
 		const result = handlers[url]?.();
 		response.writeHead(result === undefined ? 404 : 200, {'content-type': 'application/json'});
@@ -263,6 +293,12 @@
 	}
 }
 
+function increment(counts: Map<string, number>, key: string | string[] | undefined): void {
+	if (typeof key === 'string') {
+		counts.set(key, (counts.get(key) ?? 0) + 1);
+	}
+}
+
 async function readAll(request: IncomingMessage): Promise<Buffer> {
 	const chunks: Buffer[] = [];
 	for await (const chunk of request) {
