--- a/demo/src/system.ts
+++ b/demo/src/system.ts
@@ -42,6 +42,8 @@
 	readonly manifest: string;
 	/** Settings of the nodes beside those that the system makes. */
 	readonly settings?: Readonly<Record<string, unknown>>;
+	/** Settings of the store beside its address. */
+	readonly storeSettings?: Readonly<Record<string, unknown>>;
 };
 
 /** One node with its upstream. */
@@ -62,6 +64,7 @@
 	readonly instances: readonly Instance[];
 	/** Says how all upstreams of a service behave from now on. */
 	readonly setBehaviour: (service: string, behaviour: Readonly<Record<string, unknown>>) => Promise<void>;
+	readonly setBehaviourOf: (instance: Instance, behaviour: Readonly<Record<string, unknown>>) => Promise<void>;
 	readonly readCounters: (instance: Instance) => Promise<UpstreamCounts>;
 	readonly stop: () => Promise<void>;
 };
@@ -106,6 +109,9 @@
 		async setBehaviour(service, behaviour) {
 			await Promise.all(instances.filter(instance => instance.service === service).map(async instance => control(instance, 'behaviour', behaviour)));
 		},
+		async setBehaviourOf(instance, behaviour) {
+			await control(instance, 'behaviour', behaviour);
+		},
 		readCounters: async instance => await control(instance, 'counters', {}) as UpstreamCounts,
 		async stop() {
 			await Promise.all(instances.flatMap(instance => [stopProcess(instance.node), stopProcess(instance.upstream)]));
@@ -130,7 +136,7 @@
 	const settingsFile = join(folder, `${name}.yaml`);
 	const upstreamFile = join(folder, `${name}-upstream.yaml`);
 	writeFileSync(settingsFile, stringify({
-		name, ...location, host: '127.0.0.1', ports: {callers, peers, control: controlPort}, store: {url: place.storeUrl}, logLevel: 'info', ...definition.settings,
+		name, ...location, host: '127.0.0.1', ports: {callers, peers, control: controlPort}, logLevel: 'info', ...definition.settings, store: {url: place.storeUrl, ...definition.storeSettings},
 	}));
 	writeFileSync(upstreamFile, stringify({...service, node: `127.0.0.1:${callers}`}));
 	const node = startNode(name, settingsFile);
