Send a second try anew when the first one is given up

Callers saw: status 499 'cancelled', outcome not-run or unknown, for a payment sent again with its key, whose own connection and time were fine.

Cause: a try that waits for an earlier one with its key got the refusal of that earlier one word for word, also where it spoke of the earlier caller only: gone, or out of time.

The new test failed with 'cancelled', 'timed-out' in place of 'stale-range'.

Change: such refusals are given to the first try alone; the others are sent anew as when a primary is replaced.

--- a/packages/core/src/once/primary-role.ts
+++ b/packages/core/src/once/primary-role.ts
@@ -20,6 +20,12 @@
 const resendMilliseconds = 50;
 const releaseWaitMilliseconds = 150;
 
+/** Refusals that say something of one caller's try, and nothing of others with the same key. */
+const kindsOfOneTry: ReadonlySet<ErrorKind> = new Set([ErrorKind.Cancelled, ErrorKind.TimedOut, ErrorKind.InsufficientTime]);
+
+/** Has a try that waited for an earlier one sent anew. */
+const givenUp: CallError = {kind: ErrorKind.StaleRange, detail: 'An earlier try with this key was given up before dispatch'};
+
 /** What a primary shares with the range it belongs to. */
 export type PrimaryDefinition = {
 	readonly service: string;
@@ -169,7 +175,7 @@
 	releasedElsewhere(key: string): OnceEffect[] {
 		this.#orphans.delete(key);
 		const attempt = this.#waitingFor(key);
-		return attempt === undefined ? [] : this.#settleRefused(attempt, {kind: ErrorKind.StaleRange, detail: 'An earlier try with this key was given up before dispatch'}, false);
+		return attempt === undefined ? [] : this.#settleRefused(attempt, givenUp, false);
 	}
 
 	/** Takes the end of a call that the primary before this one ran. */
@@ -369,8 +375,8 @@
 	#settleRefused(attempt: Attempt, error: CallError, confirmed: boolean): OnceEffect[] {
 		this.#attempts.delete(attempt.call.callId);
 		this.#definition.table.remove(attempt.call.key, attempt.id);
-		return [attempt.call, ...attempt.joined].map(call => ({
-			type: OnceEffectType.Refused, callId: call.callId, error, isNotRun: true, confirmed,
-		}));
+		const refusal = {type: OnceEffectType.Refused, isNotRun: true, confirmed} as const;
+		const errorOfJoined = kindsOfOneTry.has(error.kind) ? givenUp : error;
+		return [{...refusal, callId: attempt.call.callId, error}, ...attempt.joined.map(({callId}) => ({...refusal, callId, error: errorOfJoined}))];
 	}
 }
--- a/packages/core/src/tests/once.test.ts
+++ b/packages/core/src/tests/once.test.ts
@@ -108,3 +108,15 @@
 	t.equal(once.known?.version, 5);
 	t.ok(once.isPrimaryOfAny);
 });
+
+test('a second try that waits for a first one is not told that it was cancelled, or that its time is over, when the first one is', async t => {
+	for (const kind of [ErrorKind.Cancelled, ErrorKind.TimedOut, ErrorKind.InsufficientTime]) {
+		const once = createOnce('p', [createMember('p')]);
+		once.renewed(0);
+		once.recordSeen({version: 1, record: createRecord('s', [createMember('p')])}, 0);
+		once.open(call(1), 10);
+		t.equal(once.open({...call(1), callId: 'c1-again'}, 20).type, OpenResultType.Joined);
+		const told = once.notRun(call(1), {kind, detail: 'of the first'}, 30);
+		t.match(told, [{callId: 'c1', error: {kind}}, {callId: 'c1-again', error: {kind: ErrorKind.StaleRange}, isNotRun: true}], kind);
+	}
+});
