Read what has arrived before a planned stop ends listening

Callers saw: connection reset, without an answer, up to 600 ms after a request was sent on a new connection to a node that was still taking calls on its way out.

Cause: timers run before the event loop takes connections and reads. After a stall the timer that ends the lingering closed the listening socket, with connections made and requests arrived that the node had not seen yet.

The new test failed with ECONNRESET.

Change: two turns of the event loop before the close: one takes connections, one reads their requests.

A kernel queue that is longer than one turn takes is not covered.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -9,6 +9,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
 	ErrorKind, LaburnumspoolError, NodeEffectType, type CallerAnswer, type CallerLimits, type CallerRequest,
 } from '@laburnumspool/core';
@@ -107,9 +108,14 @@
 		this.#isStopping = true;
 	}
 
-	/** Takes no new connections; open requests are finished, and their connections closed after the answer. */
-	stopListening(): void {
+	/**
+	 * Takes no new connections; open requests are finished, and their connections closed after the answer. What has
+	 * arrived by now is read first: one turn of the event loop takes connections, the next one reads their requests.
+	 */
+	async stopListening(): Promise<void> {
 		this.#isStopping = true;
+		await nextTurn();
+		await nextTurn();
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -184,7 +184,7 @@
 		own.stopping();
 		callersServer.closeAfterAnswers();
 		await delay(settings.lingerMilliseconds);
-		callersServer.stopListening();
+		await callersServer.stopListening();
 		while (!(core.core.mayStop && callersServer.openCount === 0) && clock() < until) {
 			await delay(stopPollMilliseconds); // eslint-disable-line no-await-in-loop
 		}
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -17,7 +17,7 @@
 
 /** A server before a core that only notes what it is told, and answers when the test says so. */
 async function start(t: Test): Promise<{
-	server: CallersServer; messages: CoreMessage[]; told: EventTarget; answer: (entryId: number, body: string | Buffer) => void; connect: () => Promise<Socket>;
+	server: CallersServer; messages: CoreMessage[]; told: EventTarget; answer: (entryId: number, body: string | Buffer) => void; connect: () => Promise<Socket>; open: () => Socket;
 }> {
 	const messages: CoreMessage[] = [];
 	const told = new EventTarget();
@@ -40,10 +40,18 @@
 	t.teardown(() => {
 		server.close();
 	});
+	const open = (): Socket => {
+		const socket = createConnection(port!, '127.0.0.1');
+		socket.on('error', silent);
+		t.teardown(() => socket.destroy());
+		return socket;
+	};
+
 	return {
 		server,
 		messages,
 		told,
+		open,
 		answer(entryId, body) {
 			const effect: AnswerCaller = {
 				type: NodeEffectType.AnswerCaller, entryId, answer: {
@@ -53,9 +61,7 @@
 			handlers[NodeEffectType.AnswerCaller]?.(effect);
 		},
 		async connect() {
-			const socket = createConnection(port!, '127.0.0.1');
-			socket.on('error', silent);
-			t.teardown(() => socket.destroy());
+			const socket = open();
 			await once(socket, 'connect');
 			return socket;
 		},
@@ -132,6 +138,30 @@
 	t.equal(requestsOf(messages).length, 3);
 });
 
+test('a node that stops listening answers what has arrived and was not read yet, also on connections that it has not taken', async t => {
+	const {server, messages, told, answer, connect, open} = await start(t);
+	const ask = (name: string): string => `GET /${name} HTTP/1.1\r\nhost: h\r\nx-id: ${name}\r\n\r\n`;
+	const answerNewest = (): void => {
+		const {entryId, requestId} = requestsOf(messages).at(-1)!;
+		answer(entryId, `body of ${requestId};`);
+	};
+
+	const kept = await connect();
+	kept.write(ask('earlier'));
+	await untilRequested(told, messages, 1);
+	answerNewest();
+	await once(kept, 'data');
+	told.addEventListener(CoreMessageType.CallerRequested, () => {
+		queueMicrotask(answerNewest);
+	});
+	const fresh = open();
+	fresh.write(ask('fresh'));
+	kept.write(ask('later'));
+	await server.stopListening();
+	const texts = await Promise.all([kept, fresh].map(async socket => readUntil(socket, ';')));
+	t.same(texts.map(text => /body of \w+;/u.exec(text)?.[0]), ['body of later;', 'body of fresh;']);
+});
+
 test('a body comes whole and unchanged, whether its length is given or it is sent in chunks', async t => {
 	const {messages, told, connect} = await start(t);
 	const socket = await connect();
