Judge cut requests by whether the node was at work, and pace payments

Cause: 200 ms after a request was sent its node was taken to have read it. On a machine with 22 runnable processes for 8 cores a node stands still for longer; a kept connection that then closes for idleness is no cut-off request. 96 payments at one moment overload three restarted nodes by themselves. The endless answer kept its process from its event loop until its memory was full.

Change: a request counts as read once the node has answered another one after it, or a second after it was sent; 64 payments, 15 ms apart, have to be served in a row; the endless answer lets its process do other work.

--- a/demo/src/soak-checks.ts
+++ b/demo/src/soak-checks.ts
@@ -47,8 +47,10 @@
 const ownStatuses: ReadonlySet<number | undefined> = new Set([404, 502, 503, 504]);
 const notRunStatuses: ReadonlySet<number | undefined> = new Set([408, 421, 429, 503]);
 const unknownKindStatus = 404;
-/** A request that a node has not read within this time crosses the close of its connection. */
+/** Time after which a node at work has read what was sent to it. */
 const crossingMilliseconds = 200;
+/** Longest time for which a node may stand still on a busy machine. */
+const longestStallMilliseconds = 1000;
 /** A process that ends takes its connections with it; its callers learn of that a little later. */
 const noticeMilliseconds = 300;
 const adoptionMilliseconds = 2500;
@@ -153,7 +155,7 @@
 	const isKilled = own.some(({type, endedAt}) => type === DisruptionType.Kill && result.sentAt <= endedAt + noticeMilliseconds);
 	const isAway = failure === 'ECONNREFUSED' && own.some(({type}) => type !== DisruptionType.Freeze);
 	const hasRunHere = runs > 0 && !results.some(other => other.id === id && other !== result);
-	if (isKilled || isAway || (!hasRunHere && failure !== 'ECONNREFUSED' && isCrossing(result, own))) {
+	if (isKilled || isAway || (!hasRunHere && failure !== 'ECONNREFUSED' && isCrossing(result, own, results))) {
 		return [];
 	}
 
@@ -161,11 +163,20 @@
 	return [`${id} got no answer from ${entry}: ${failure} after ${Math.round(result.endedAt - result.sentAt)} ms, ran ${runs} times, ${result.isReused ? 'kept' : 'new'} connection, ${around.join(', ') || 'no trouble there'}`];
 }
 
-/** A kept connection, or one that a stopping node has not taken yet, was closed while the request was on its way. */
-function isCrossing({writtenAt, sentAt, endedAt, isReused}: SoakResult, own: readonly Trouble[]): boolean {
-	const thaws = own.filter(({type}) => type === DisruptionType.Freeze).map(trouble => trouble.endedAt);
-	const readableAt = Math.max(writtenAt ?? endedAt, ...thaws.filter(thaw => thaw >= sentAt && thaw <= endedAt));
-	return endedAt - readableAt <= crossingMilliseconds && (isReused || own.some(({type}) => type === DisruptionType.Stop));
+/**
+ * A kept connection, or one that a stopping node has not taken yet, was closed while the request was on its way. A node
+ * that answers others, or has thawed, is at work, and has read what was sent before; one that stands still has not.
+ */
+function isCrossing({entry, writtenAt, sentAt, endedAt, isReused}: SoakResult, own: readonly Trouble[], results: readonly SoakResult[]): boolean {
+	if (!isReused && !own.some(({type}) => type === DisruptionType.Stop)) {
+		return false;
+	}
+
+	const from = writtenAt ?? endedAt;
+	const thaws = own.filter(({type}) => type === DisruptionType.Freeze).map(trouble => trouble.endedAt).filter(thaw => thaw >= sentAt && thaw <= endedAt);
+	const isSoon = endedAt - Math.max(from, ...thaws) <= longestStallMilliseconds;
+	const workedAt = results.filter(other => other.entry === entry && other.status !== undefined && other.endedAt > from && other.endedAt < endedAt).map(other => other.endedAt);
+	return isSoon && endedAt - Math.min(endedAt, ...workedAt) <= crossingMilliseconds;
 }
 
 /** An accepted version is in force at every node within the bound, counted from the last thing that kept the node from it. */
--- a/demo/src/soak.ts
+++ b/demo/src/soak.ts
@@ -31,8 +31,9 @@
 /** A range of keys whose two holders are gone stands still for their leases, for the time that they may work without the store, and until it was looked at twice. */
 const keyedRecoveryMilliseconds = 12_000;
 const recoveryPauseMilliseconds = 200;
-/** Payments that are sent at once, so that all ranges of keys are hit. */
-const paymentsInRow = 96;
+/** Payments that have to be served in a row, so that most ranges of keys are hit, and their pace. */
+const paymentsInRow = 64;
+const betweenPaymentsMilliseconds = 15;
 const secondTries = 2;
 const secondTryMilliseconds = 100;
 
@@ -230,7 +231,10 @@
 	async #findUnservedBy(milliseconds: number, wanted: ReadonlyArray<{readonly entry: Instance; readonly kind: SoakKind}>): Promise<string[]> {
 		const until = performance.now() + milliseconds;
 		const sendAll = async (): Promise<SoakResult[]> => {
-			const results = await Promise.all(wanted.map(async ({entry, kind}) => this.#send(entry, kind, SoakPhase.Recovery)));
+			const results = await Promise.all(wanted.map(async ({entry, kind}, index) => {
+				await delay(index * betweenPaymentsMilliseconds);
+				return this.#send(entry, kind, SoakPhase.Recovery);
+			}));
 			return results.filter(({status}) => status !== 200);
 		};
 
--- a/standins/upstream/src/faulty-answers.ts
+++ b/standins/upstream/src/faulty-answers.ts
@@ -74,7 +74,9 @@
 		socket.write(headOf(answer, {connection: 'close'}));
 		const writeOn = (): void => {
 			if (!socket.destroyed) {
-				socket.write(endlessChunk, writeOn);
+				socket.write(endlessChunk, () => {
+					setImmediate(writeOn);
+				});
 			}
 		};
 
