End an exchange after its whole time, however steadily bytes come

What callers saw: nothing at once, but a slot of the upstream was held without end by at-most-once work whose answer never ended: the guard cancels only idempotent work at its deadline.

Cause: the client library's limits on the head and the body start anew with each interim answer and each part of a body. An upstream that sends 102 or 103 again and again, or a byte every 10 ms, was never cut off.

Evidence: endless-answers.test sends 23 kinds of bytes without end over real sockets. On the code before, 7 of them were still open after 2.5 s for a call with 50 ms left (interim answers 102 and 103 as fast as they are read, interim answers now and then, a sized body, chunks, chunk extensions and a body without a length byte by byte). The other 16 ended by the bounds that were there: 16 KiB for a head or trailers, the answer's bytes, the wait for the head.

Change: an exchange has a total time beside the wait between parts. One that still waits for a connection then was never written, and is not run.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -32,6 +32,8 @@
 	readonly maximumBytes: number;
 	/** Longest wait for the head of the answer and between its parts. */
 	readonly timeoutMilliseconds: number;
+	/** Longest time for the whole exchange, however steadily parts of an answer come. */
+	readonly totalMilliseconds: number;
 };
 
 /** An exchange under way. */
@@ -47,8 +49,14 @@
  * const exchange = startExchange(pool, request, result => console.log(result));
  */
 export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void): Exchange {
-	const handler = new ExchangeHandler(request.maximumBytes, report);
-	const {origin, method, path, headers, body, timeoutMilliseconds} = request;
+	const {origin, method, path, headers, body, timeoutMilliseconds, totalMilliseconds} = request;
+	const deadline = setTimeout(() => {
+		handler.expire();
+	}, totalMilliseconds);
+	const handler = new ExchangeHandler(request.maximumBytes, result => {
+		clearTimeout(deadline);
+		report(result);
+	});
 	pool.dispatch({
 		...(origin === undefined ? {} : {origin}),
 		method,
@@ -71,6 +79,7 @@
 	readonly #chunks: Buffer[] = [];
 	#controller: Dispatcher.DispatchController | undefined;
 	#isAborted = false;
+	#isExpired = false;
 	#isTooLarge = false;
 	#isReported = false;
 	#status = 0;
@@ -87,9 +96,15 @@
 		this.#controller?.abort(new Error('The exchange was aborted'));
 	}
 
+	/** Ends an exchange that has taken too long; one that still waits for a connection ends when it gets one. */
+	expire(): void {
+		this.#isExpired = true;
+		this.#controller?.abort(new Error('The exchange took too long'));
+	}
+
 	/** Called just before the request is written. */
 	onRequestStart(controller: Dispatcher.DispatchController): void {
-		if (this.#isAborted) {
+		if (this.#isAborted || this.#isExpired) {
 			controller.abort(new Error('The exchange was aborted'));
 			return;
 		}
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -20,6 +20,9 @@
 
 const connectMilliseconds = 500;
 const controlMilliseconds = 1000;
+
+/** For a whole view or manifest, over a narrow link. */
+const controlTotalMilliseconds = 10_000;
 const maximumAnswerBytes = 16 * 1024 * 1024;
 const idleMilliseconds = 10_000;
 
@@ -257,6 +260,7 @@
 				body: body === undefined ? undefined : Buffer.from(body),
 				maximumBytes: maximumAnswerBytes,
 				timeoutMilliseconds: controlMilliseconds,
+				totalMilliseconds: controlTotalMilliseconds,
 			}, resolve);
 		});
 	}
--- /dev/null
+++ b/packages/node/src/tests/endless-answers.test.ts
@@ -0,0 +1,95 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import type {Socket} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
+import {UpstreamFailure} from '@laburnumspool/core';
+import {test, type Test} from 'tap';
+import {start, whole} from './raw-upstream.js';
+
+const mebibyte = 1024 * 1024;
+const mostSentBytes = 256 * mebibyte;
+const trickleMilliseconds = 10;
+
+/** Time left of a call, and what an exchange may take at most for it. */
+const timeLeftMilliseconds = 50;
+const longestMilliseconds = 2500;
+
+const head = 'HTTP/1.1 200 OK\r\nrequest-id: r1\r\nsignature: s\r\n';
+const chunkedHead = `${head}transfer-encoding: chunked\r\n\r\n`;
+
+/** Sends the part again and again, as fast as it is read, until the other side closes. */
+function flood(socket: Socket, part: string): void {
+	const bytes = Buffer.from(part.repeat(Math.ceil(65_536 / part.length)), 'latin1');
+	const more = (): void => {
+		while (!socket.destroyed && socket.bytesWritten < mostSentBytes) {
+			if (!socket.write(bytes)) {
+				socket.once('drain', more);
+				return;
+			}
+		}
+	};
+
+	more();
+}
+
+/** Sends a part now and then until the other side closes. */
+function trickle(socket: Socket, part: string): void {
+	const timer = setInterval(() => {
+		socket.write(part);
+	}, trickleMilliseconds);
+	socket.once('close', () => {
+		clearInterval(timer);
+	});
+}
+
+type Endless = {readonly first: string; readonly part: string; readonly send?: typeof flood; readonly failure?: UpstreamFailure};
+
+const endless: Readonly<Record<string, Endless>> = {
+	'a header line': {first: `${head}x: `, part: 'y'},
+	'header lines': {first: head, part: 'x: y\r\n'},
+	'a header name': {first: head, part: 'y'},
+	'a reason phrase': {first: 'HTTP/1.1 200 ', part: 'y'},
+	'empty lines': {first: '', part: '\r\n'},
+	chunks: {first: chunkedHead, part: '5\r\nabcde\r\n', failure: UpstreamFailure.TooLarge},
+	'a chunk size': {first: chunkedHead, part: '0'},
+	'a chunk extension': {first: `${chunkedHead}1;x=`, part: 'y'},
+	'a body': {first: `${head}\r\n`, part: 'y', failure: UpstreamFailure.TooLarge},
+	'a body longer than its length': {first: `${head}content-length: 999999999999\r\n\r\n`, part: 'y', failure: UpstreamFailure.TooLarge},
+	'interim answers 100': {first: '', part: 'HTTP/1.1 100 Continue\r\n\r\n'},
+	'interim answers 102': {first: '', part: 'HTTP/1.1 102 Processing\r\n\r\n'},
+	'interim answers 103': {first: '', part: 'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n'},
+	'a trailer line': {first: `${chunkedHead}0\r\nx: `, part: 'y'},
+	'trailer lines': {first: `${chunkedHead}0\r\n`, part: 'x: y\r\n'},
+	'no HTTP': {first: '', part: '\u0000\u00FFzq'},
+	'a head byte by byte': {first: `${head}x: `, part: 'y', send: trickle},
+	'interim answers now and then': {first: '', part: 'HTTP/1.1 102 Processing\r\n\r\n', send: trickle},
+	'a sized body byte by byte': {first: `${head}content-length: 900\r\n\r\n`, part: 'y', send: trickle},
+	'chunks now and then': {first: chunkedHead, part: '1\r\na\r\n', send: trickle},
+	'chunk extensions now and then': {first: chunkedHead, part: '1;x=y\r\na\r\n', send: trickle},
+	'trailers now and then': {first: `${chunkedHead}0\r\nx: `, part: 'y', send: trickle},
+	'a body without a length byte by byte': {first: `${head}\r\n`, part: 'y', send: trickle},
+};
+
+/** What the call and the one after it become, and whether the upstream saw its connection close. */
+async function answerOf(t: Test, {first, part, send = flood}: Endless): Promise<readonly string[]> {
+	const told = new EventTarget();
+	const isClosed = once(told, 'close').then(() => 'closed');
+	const {call} = await start(t, (requestId, socket) => {
+		if (requestId === 'r1') {
+			socket.once('close', () => told.dispatchEvent(new Event('close')));
+			socket.write(first);
+			send(socket, part);
+		} else {
+			socket.write(whole(requestId, requestId));
+		}
+	}, {timeLeftMilliseconds});
+	const isLate = wait(longestMilliseconds, 'not in time', {ref: false});
+	const result = await Promise.race([call(1), isLate]);
+	return [result, await Promise.race([isClosed, isLate]), await Promise.race([call(2), isLate])];
+}
+
+for (const [name, answer] of Object.entries(endless)) {
+	test(`an answer without end ends its call in time and its connection, and reaches nobody: ${name}`, async t => {
+		t.same(await answerOf(t, answer), [answer.failure ?? UpstreamFailure.Broken, 'closed', '200 r2']);
+	});
+}
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -104,13 +104,15 @@
 			...(requestIdName === undefined || requestId === '' ? [] : [requestIdName, requestId]),
 			...(expectedInstance === undefined || this.#instance === undefined ? [] : [expectedInstance, this.#instance]),
 		];
+		const timeoutMilliseconds = Math.min(longestMilliseconds, (timeLeftMilliseconds * 2) + extraMilliseconds);
 		const exchange = startExchange(this.#pool, {
 			method: request.method,
 			path: request.target,
 			headers,
 			body: request.body,
 			maximumBytes: answerBytesLimit,
-			timeoutMilliseconds: Math.min(longestMilliseconds, (timeLeftMilliseconds * 2) + extraMilliseconds),
+			timeoutMilliseconds,
+			totalMilliseconds: timeoutMilliseconds,
 		}, result => {
 			this.#open.delete(callId);
 			this.#report(effect, result);
