Hold a body's own bytes, not the reads that they came in

What callers saw: nothing yet; the node's memory could grow far beyond the bound on answers, until the process is ended.

Cause: the parts of a body were kept as they came. A part may be one byte of a read of 64 KiB, when long chunk extensions or tiny chunks stand around it, and it keeps the whole read alive.

Evidence: a test sends a body of 3,000 bytes, one in each chunk, between extensions of 65,000 bytes.

Change: a body grows in one buffer, to which parts are copied; a body of one part is kept as it is. Bodies of answers and of callers' requests both use it.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
+import {BodyBuffer} from './body-buffer.js';
 
 /** How an exchange failed. */
 export enum ExchangeFailure {
@@ -76,7 +77,7 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler {
 	readonly #maximumBytes: number;
 	readonly #report: (result: ExchangeResult) => void;
-	readonly #chunks: Buffer[] = [];
+	readonly #body = new BodyBuffer();
 	#controller: Dispatcher.DispatchController | undefined;
 	#isAborted = false;
 	#isExpired = false;
@@ -84,7 +85,6 @@
 	#isReported = false;
 	#status = 0;
 	#headers: string[] = [];
-	#length = 0;
 
 	constructor(maximumBytes: number, report: (result: ExchangeResult) => void) {
 		this.#maximumBytes = maximumBytes;
@@ -122,20 +122,18 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		this.#length += chunk.length;
-		if (this.#length > this.#maximumBytes) {
+		if (this.#body.length + chunk.length > this.#maximumBytes) {
 			this.#isTooLarge = true;
 			controller.abort(new Error('The answer is too large'));
 			return;
 		}
 
-		this.#chunks.push(chunk);
+		this.#body.add(chunk);
 	}
 
 	onResponseEnd(): void {
-		const body = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks, this.#length);
 		this.#reportOnce({
-			success: true, status: this.#status, headers: this.#headers, body,
+			success: true, status: this.#status, headers: this.#headers, body: this.#body.bytes,
 		});
 	}
 
--- a/packages/node/src/http-messages.ts
+++ b/packages/node/src/http-messages.ts
@@ -9,6 +9,7 @@
 import {
 	answers, ErrorKind, LaburnumspoolError, Outcome, statusOf, type CallError, type RawHeaders,
 } from '@laburnumspool/core';
+import {BodyBuffer} from './body-buffer.js';
 
 const retryAfterSeconds = 1;
 
@@ -78,16 +79,14 @@
 	}
 
 	return new Promise((resolve, reject) => {
-		const chunks: Buffer[] = [];
-		let length = 0;
+		const body = new BodyBuffer();
 		request.on('data', (chunk: Buffer) => {
-			length += chunk.length;
-			if (length > maximumBytes) {
+			if (body.length + chunk.length > maximumBytes) {
 				reject(new LaburnumspoolError(ErrorKind.PayloadTooLarge, `The body exceeds ${maximumBytes} bytes`));
 				return;
 			}
 
-			chunks.push(chunk);
+			body.add(chunk);
 		});
 		const endEarly = (): void => {
 			if (!request.complete) {
@@ -96,7 +95,7 @@
 		};
 
 		request.once('end', () => {
-			resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, length));
+			resolve(body.bytes);
 		});
 		request.once('close', endEarly);
 		request.once('error', endEarly);
--- a/packages/node/src/tests/endless-answers.test.ts
+++ b/packages/node/src/tests/endless-answers.test.ts
@@ -1,7 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import type {Socket} from 'node:net';
+import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import {UpstreamFailure} from '@laburnumspool/core';
 import {test, type Test} from 'tap';
 import {start, whole} from './raw-upstream.js';
@@ -14,6 +17,9 @@
 const timeLeftMilliseconds = 50;
 const longestMilliseconds = 2500;
 
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
 const head = 'HTTP/1.1 200 OK\r\nrequest-id: r1\r\nsignature: s\r\n';
 const chunkedHead = `${head}transfer-encoding: chunked\r\n\r\n`;
 
@@ -42,6 +48,25 @@
 	});
 }
 
+/** Bytes of buffers that are in use. */
+function heldBytes(): number {
+	collectGarbage();
+	return process.memoryUsage().arrayBuffers;
+}
+
+/** Sends a part so many times, and ends the body. */
+function sendOneByOne(socket: Socket, part: string, count: number, sample: () => void): void {
+	if (count % 500 === 0) {
+		sample();
+	}
+
+	socket.write(count === 0 ? '0\r\n\r\n' : part, () => {
+		if (count > 0) {
+			sendOneByOne(socket, part, count - 1, sample);
+		}
+	});
+}
+
 type Endless = {readonly first: string; readonly part: string; readonly send?: typeof flood; readonly failure?: UpstreamFailure};
 
 const endless: Readonly<Record<string, Endless>> = {
@@ -93,3 +118,17 @@
 		t.same(await answerOf(t, answer), [answer.failure ?? UpstreamFailure.Broken, 'closed', '200 r2']);
 	});
 }
+
+test('a body in tiny chunks between long chunk extensions takes no more memory than its bytes', async t => {
+	const chunks = 3000;
+	let mostBytes = 0;
+	const {call} = await start(t, (_requestId, socket) => {
+		socket.write(chunkedHead);
+		sendOneByOne(socket, `1;x=${'y'.repeat(65_000)}\r\na\r\n`, chunks, () => {
+			mostBytes = Math.max(mostBytes, heldBytes());
+		});
+	}, {answerBytesLimit: 2 * chunks});
+	const before = heldBytes();
+	t.equal(await call(1), `200 ${'a'.repeat(chunks)}`);
+	t.ok(mostBytes - before < 32 * mebibyte, `${Math.round((mostBytes - before) / mebibyte)} MiB`);
+});
