Bound the store's answers in bytes and in time

What callers saw: nothing; a store in trouble could fill a node's memory, or hold one of its few connections to the store without end.

Cause: bodies of the store were read as text without a bound, and the waits for a head and between parts start anew with each interim answer and each part.

Change: a call has a total time and a bound on its answer (10 s beside the wait that it asks for, 16 MiB).

--- a/packages/manifest/src/http-store.ts
+++ b/packages/manifest/src/http-store.ts
@@ -9,6 +9,8 @@
 import {SwapResultType, type Store} from './store.js';
 
 const answerMilliseconds = 2000;
+const totalMilliseconds = 10_000;
+const maximumBytes = 16 * 1024 * 1024;
 const connections = 4;
 
 const entrySchema = valibot.object({version: valibot.number(), value: valibot.string()});
@@ -27,7 +29,7 @@
  */
 export function openHttpStore(url: string): Store {
 	const client = new JsonClient({
-		url, connections, connectMilliseconds: answerMilliseconds, answerMilliseconds, parse: text => text === '' ? undefined : parseJson(text, ErrorKind.StoreUnavailable, 'The answer is not JSON'),
+		url, connections, connectMilliseconds: answerMilliseconds, answerMilliseconds, totalMilliseconds, maximumBytes, parse: text => text === '' ? undefined : parseJson(text, ErrorKind.StoreUnavailable, 'The answer is not JSON'),
 	});
 
 	return {
