Test bytes without end behind a whole answer

Three kinds of bytes without end after a whole answer on a kept connection (answers of no request, interim answers, bytes that are no HTTP): the connection ends at once and the next call gets its own answer.

--- a/packages/node/src/tests/endless-answers.test.ts
+++ b/packages/node/src/tests/endless-answers.test.ts
@@ -132,3 +132,27 @@
 	t.equal(await call(1), `200 ${'a'.repeat(chunks)}`);
 	t.ok(mostBytes - before < 32 * mebibyte, `${Math.round((mostBytes - before) / mebibyte)} MiB`);
 });
+
+const extras: Readonly<Record<string, string>> = {
+	'answers of no request': whole('r9', 'extra'),
+	'no HTTP': '\u0000\u00FFzq',
+	'interim answers': 'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n',
+};
+
+for (const [name, part] of Object.entries(extras)) {
+	test(`bytes without end behind a whole answer end its connection, and reach nobody: ${name}`, async t => {
+		const told = new EventTarget();
+		const isClosed = once(told, 'close').then(() => 'closed');
+		const {call} = await start(t, (requestId, socket) => {
+			socket.write(whole(requestId, requestId));
+			if (requestId === 'r1') {
+				socket.once('close', () => told.dispatchEvent(new Event('close')));
+				flood(socket, part);
+			}
+		});
+		const isLate = wait(longestMilliseconds, 'not in time', {ref: false});
+		t.equal(await call(1), '200 r1');
+		t.equal(await Promise.race([isClosed, isLate]), 'closed');
+		t.equal(await call(2), '200 r2');
+	});
+}
