Take an answer without a length whose connection ended in order

What callers saw: 502 in place of whole answers, wherever an instance ends its answer with its connection.

Cause: a reset that comes together with the last bytes is reported by the runtime as an end, so all answers of that form were refused.

Evidence: after a reset the kernel has forgotten the peer of a connection, after an orderly end it still knows it. The address of the peer, read for the first time when the end is told, tells the two apart; a reset that the runtime reports as such never reaches that place.

Change: connections to the upstream are made by our own connector, whose listener for the end runs before the library's. An answer without a length is whole only in the turn in which an orderly end is told; everything doubtful stays refused.

What it cannot tell: a process that is killed with nothing left to read ends its connections in order, as TCP has it.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -6,6 +6,11 @@
 import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {BodyBuffer} from './body-buffer.js';
+import {bodilessStatuses, findHeader} from './http-messages.js';
+import type {OrderlyEnds} from './orderly-ends.js';
+
+/** Headers with which an answer says where it ends. */
+const lengthHeaders = ['content-length', 'transfer-encoding'];
 
 /** How an exchange failed. */
 export enum ExchangeFailure {
@@ -20,8 +25,12 @@
 }
 
 export type ExchangeResult
-	= | {readonly success: true; readonly status: number; readonly headers: string[]; readonly body: Buffer}
-		| {readonly success: false; readonly failure: ExchangeFailure};
+	= | {
+		readonly success: true; readonly status: number; readonly headers: string[]; readonly body: Buffer;
+		/** False when it ended with its connection, which may have been cut. */
+		readonly isWhole: boolean;
+	}
+	| {readonly success: false; readonly failure: ExchangeFailure};
 
 export type ExchangeRequest = {
 	/** Where the request goes, when the dispatcher has more than one destination. */
@@ -49,7 +58,7 @@
  * @example
  * const exchange = startExchange(pool, request, result => console.log(result));
  */
-export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void): Exchange {
+export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void, ends?: OrderlyEnds): Exchange {
 	const {origin, method, path, headers, body, timeoutMilliseconds, totalMilliseconds} = request;
 	const deadline = setTimeout(() => {
 		handler.expire();
@@ -57,7 +66,7 @@
 	const handler = new ExchangeHandler(request.maximumBytes, result => {
 		clearTimeout(deadline);
 		report(result);
-	});
+	}, ends);
 	pool.dispatch({
 		...(origin === undefined ? {} : {origin}),
 		method,
@@ -77,6 +86,7 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler {
 	readonly #maximumBytes: number;
 	readonly #report: (result: ExchangeResult) => void;
+	readonly #ends: OrderlyEnds | undefined;
 	readonly #body = new BodyBuffer();
 	#controller: Dispatcher.DispatchController | undefined;
 	#isAborted = false;
@@ -86,9 +96,10 @@
 	#status = 0;
 	#headers: string[] = [];
 
-	constructor(maximumBytes: number, report: (result: ExchangeResult) => void) {
+	constructor(maximumBytes: number, report: (result: ExchangeResult) => void, ends: OrderlyEnds | undefined) {
 		this.#maximumBytes = maximumBytes;
 		this.#report = report;
+		this.#ends = ends;
 	}
 
 	abort(): void {
@@ -133,7 +144,7 @@
 
 	onResponseEnd(): void {
 		this.#reportOnce({
-			success: true, status: this.#status, headers: this.#headers, body: this.#body.bytes,
+			success: true, status: this.#status, headers: this.#headers, body: this.#body.bytes, isWhole: this.#isWhole(),
 		});
 	}
 
@@ -141,6 +152,11 @@
 		this.#reportOnce({success: false, failure: this.#failure()});
 	}
 
+	/** An answer that does not say itself where it ends does so with its connection, if that ends in order. */
+	#isWhole(): boolean {
+		return bodilessStatuses.has(this.#status) || lengthHeaders.some(name => findHeader(this.#headers, name) !== undefined) || this.#ends?.isTelling === true;
+	}
+
 	#failure(): ExchangeFailure {
 		if (this.#controller === undefined) {
 			return ExchangeFailure.NotConnected;
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	NodeEffectType, UpstreamFailure, type AnswerPayload, type Announcement, type NodeEffect,
+	NodeEffectType, UpstreamFailure, type Announcement, type NodeEffect,
 } from '@laburnumspool/core';
 import {Pool} from 'undici';
 import {CoreMessageType, type CoreTask} from './core-task.js';
@@ -12,6 +12,7 @@
 	ExchangeFailure, startExchange, type Exchange, type ExchangeResult,
 } from './http-client.js';
 import {filterHeaders, findHeader, HeaderName} from './http-messages.js';
+import {OrderlyEnds} from './orderly-ends.js';
 import type {PartLog} from './logs.js';
 import type {HeaderNames} from './settings.js';
 
@@ -19,7 +20,6 @@
 const extraMilliseconds = 1000;
 const longestMilliseconds = 600_000;
 const misdirectedStatus = 421;
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 const failures: Readonly<Record<ExchangeFailure, UpstreamFailure>> = {
 	[ExchangeFailure.NotConnected]: UpstreamFailure.NotConnected,
@@ -28,6 +28,7 @@
 	[ExchangeFailure.Aborted]: UpstreamFailure.Cancelled,
 };
 
+type ExchangeAnswer = Extract<ExchangeResult, {success: true}>;
 type DispatchEffect = Extract<NodeEffect, {type: NodeEffectType.Dispatch}>;
 
 /**
@@ -43,6 +44,7 @@
 	/** Headers of answers that are for the node, or that the caller's node sets. */
 	readonly #ownHeaders: ReadonlySet<string>;
 	readonly #open = new Map<string, Exchange>();
+	readonly #ends = new OrderlyEnds(connectMilliseconds);
 	#pool: Pool | undefined;
 	#poolKey = '';
 	#instance: string | undefined;
@@ -79,7 +81,7 @@
 
 		const previous = this.#pool;
 		this.#poolKey = key;
-		this.#pool = new Pool(`http://${address}`, {connections: connectionCount, pipelining: 1, connectTimeout: connectMilliseconds});
+		this.#pool = new Pool(`http://${address}`, {connections: connectionCount, pipelining: 1, connect: this.#ends.connect});
 		this.#log.info(`${service} ${instance ?? ''} is at ${address} with ${slots} slots`);
 		void previous?.close();
 	}
@@ -116,7 +118,7 @@
 		}, result => {
 			this.#open.delete(callId);
 			this.#report(effect, result);
-		});
+		}, this.#ends);
 		this.#open.set(callId, exchange);
 	}
 
@@ -136,7 +138,7 @@
 	}
 
 	/** What an answer says beside its body: that the request was not run, or that the answer is not its own. */
-	#failureOf({callId, requestId}: DispatchEffect, {status, headers}: Pick<AnswerPayload, 'status' | 'headers'>): UpstreamFailure | undefined {
+	#failureOf({callId, requestId}: DispatchEffect, {status, headers, isWhole}: ExchangeAnswer): UpstreamFailure | undefined {
 		const {notExecuted, requestId: requestIdName, signature} = this.#headers;
 		if (status === misdirectedStatus && this.#headers.expectedInstance !== undefined) {
 			return UpstreamFailure.OtherInstance;
@@ -146,8 +148,8 @@
 			return UpstreamFailure.Refused;
 		}
 
-		if (!isEndKnown(status, headers)) {
-			this.#log.warn(`the answer to ${callId} has no length and ended with its connection, which may have been cut`);
+		if (!isWhole) {
+			this.#log.warn(`the answer to ${callId} has no length and ended with its connection, which was cut`);
 			return UpstreamFailure.Broken;
 		}
 
@@ -161,11 +163,3 @@
 		return isUnsigned ? UpstreamFailure.Broken : undefined;
 	}
 }
-
-/**
- * Whether an answer says itself where it ends. Where only its connection's end does, the runtime reports a reset that
- * comes together with the last bytes as an end, so half an answer would pass for a whole one.
- */
-function isEndKnown(status: number, headers: readonly string[]): boolean {
-	return bodilessStatuses.has(status) || findHeader(headers, 'content-length') !== undefined || findHeader(headers, 'transfer-encoding') !== undefined;
-}
