Look at an answer's name before its refusal

What callers could see: 503, a promise that their request was not run, for a request that runs; and a request that may run once sent to a second instance.

Cause: an upstream that answers a request twice, the second time late, can do so with a refusal. On a kept connection it arrives as the next request goes out. The mark of the refusal, and the status of another instance, were looked at before the request that the answer names, so the refusal of the request before was taken as the proof that this one was not run.

Evidence: upstream-client.test plays late second answers over one kept connection. On the code before, one with the mark and one of another instance, both with the name of the request before, became `refused` and `other-instance` for the next call.

Change: the name is looked at first. An answer that names another request says nothing of this one, and it may have run.

--- a/packages/node/src/tests/upstream-client.test.ts
+++ b/packages/node/src/tests/upstream-client.test.ts
@@ -23,6 +23,28 @@
 	t.equal(await call(3), '200 r3');
 });
 
+const late: Readonly<Record<string, string>> = {
+	'with the name of the request before': whole('r1', 'late'),
+	'with the name of the request before, without a length': 'HTTP/1.1 200 OK\r\nrequest-id: r1\r\nsignature: s\r\n\r\nlate',
+	'that the request before was not run': 'HTTP/1.1 503 Service Unavailable\r\nrequest-id: r1\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n',
+	'that the request before came to another instance': 'HTTP/1.1 421 Misdirected Request\r\nrequest-id: r1\r\ncontent-length: 0\r\n\r\n',
+};
+
+for (const [name, bytes] of Object.entries(late)) {
+	test(`a late second answer says nothing of the next call: ${name}`, async t => {
+		const {call, connections} = await start(t, (requestId, socket) => {
+			socket.write((requestId === 'r2' ? bytes : '') + whole(requestId, requestId));
+			if (requestId === 'r2') {
+				socket.end();
+			}
+		});
+		t.equal(await call(1), '200 r1');
+		t.equal(await call(2), UpstreamFailure.Broken);
+		t.equal(connections.length, 1, 'both went over one connection');
+		t.equal(await call(3), '200 r3');
+	});
+}
+
 test('an answer that is cut, reset or unsigned is none, and one without a length needs an orderly end', async t => {
 	const ends: Readonly<Record<string, (socket: Socket) => void>> = {
 		r1: socket => socket.end('HTTP/1.1 200 OK\r\nrequest-id: r1\r\nsignature: s\r\ncontent-length: 10\r\n\r\nabc'),
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -140,6 +140,12 @@
 	/** What an answer says beside its body: that the request was not run, or that the answer is not its own. */
 	#failureOf({callId, requestId}: DispatchEffect, {status, headers, isWhole}: ExchangeAnswer): UpstreamFailure | undefined {
 		const {notExecuted, requestId: requestIdName, signature} = this.#headers;
+		const repeated = findHeader(headers, requestIdName);
+		if (repeated !== undefined && repeated !== requestId) {
+			this.#log.warn(`the answer to ${callId} belongs to request ${repeated} in place of ${requestId}`);
+			return UpstreamFailure.Broken;
+		}
+
 		if (status === misdirectedStatus && this.#headers.expectedInstance !== undefined) {
 			return UpstreamFailure.OtherInstance;
 		}
@@ -153,12 +159,6 @@
 			return UpstreamFailure.Broken;
 		}
 
-		const repeated = findHeader(headers, requestIdName);
-		if (repeated !== undefined && repeated !== requestId) {
-			this.#log.warn(`the answer to ${callId} belongs to request ${repeated} in place of ${requestId}`);
-			return UpstreamFailure.Broken;
-		}
-
 		const isUnsigned = signature !== undefined && status < 300 && findHeader(headers, signature) === undefined;
 		return isUnsigned ? UpstreamFailure.Broken : undefined;
 	}
