Take no answer that names no request for an answer to one

What callers could see: another request's answer, whole and with the upstream's signature.

Cause: the name of the request in an answer was looked at only where there was one. A late second answer without it, that arrives on a kept connection as the next request goes out, was taken as that request's answer. The library ends a connection on which bytes arrive before the next request is written; these arrive after it.

Evidence: four late second answers without a name in upstream-client.test (with a length, in chunks, of a failure, and with neither length nor chunks): on the code before, the next call got `200 late` twice, `500 late`, and the late answer together with its own answer's head as one body.

Change: where the upstream's answers have a header for the name, an answer without it is none, whatever its status. A refusal without a name counts as before: examples on the wire show refusals without one.

--- a/packages/node/src/tests/upstream-client.test.ts
+++ b/packages/node/src/tests/upstream-client.test.ts
@@ -25,7 +25,11 @@
 
 const late: Readonly<Record<string, string>> = {
 	'with the name of the request before': whole('r1', 'late'),
+	'without a name': 'HTTP/1.1 200 OK\r\nsignature: s\r\ncontent-length: 4\r\n\r\nlate',
+	'without a name, in chunks': 'HTTP/1.1 200 OK\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n4\r\nlate\r\n0\r\n\r\n',
 	'with the name of the request before, without a length': 'HTTP/1.1 200 OK\r\nrequest-id: r1\r\nsignature: s\r\n\r\nlate',
+	'without a name or a length': 'HTTP/1.1 200 OK\r\nsignature: s\r\n\r\nlate',
+	'without a name, of a failure': 'HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\nlate',
 	'that the request before was not run': 'HTTP/1.1 503 Service Unavailable\r\nrequest-id: r1\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n',
 	'that the request before came to another instance': 'HTTP/1.1 421 Misdirected Request\r\nrequest-id: r1\r\ncontent-length: 0\r\n\r\n',
 };
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -154,6 +154,11 @@
 			return UpstreamFailure.Refused;
 		}
 
+		if (requestIdName !== undefined && repeated === undefined && requestId !== '') {
+			this.#log.warn(`the answer to ${callId} names no request, and may be a second one of an earlier request`);
+			return UpstreamFailure.Broken;
+		}
+
 		if (!isWhole) {
 			this.#log.warn(`the answer to ${callId} has no length and ended with its connection, which was cut`);
 			return UpstreamFailure.Broken;
