Bound what a connection to the upstream reads for one request

What callers saw: nothing at once; an upstream in trouble could keep the processor of its node busy.

Cause: the client library reads some bytes without a bound: the words behind a status, empty lines before an answer or between answers, zeros before and extensions behind the size of a chunk. Only the wait for the head or the total time ended them, and on an idle connection only its idle time.

Change: each connection counts what it has read since something was last written to it. The bound is eight times the largest body that a call may have, and 256 KiB around it.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -7,7 +7,7 @@
 import type {Dispatcher} from 'undici';
 import {BodyBuffer} from './body-buffer.js';
 import {bodilessStatuses, findHeader} from './http-messages.js';
-import type {OrderlyEnds} from './orderly-ends.js';
+import type {WatchedConnections} from './watched-connections.js';
 
 /** Headers with which an answer says where it ends. */
 const lengthHeaders = ['content-length', 'transfer-encoding'];
@@ -58,7 +58,7 @@
  * @example
  * const exchange = startExchange(pool, request, result => console.log(result));
  */
-export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void, ends?: OrderlyEnds): Exchange {
+export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void, connections?: WatchedConnections): Exchange {
 	const {origin, method, path, headers, body, timeoutMilliseconds, totalMilliseconds} = request;
 	const deadline = setTimeout(() => {
 		handler.expire();
@@ -66,7 +66,7 @@
 	const handler = new ExchangeHandler(request.maximumBytes, result => {
 		clearTimeout(deadline);
 		report(result);
-	}, ends);
+	}, connections);
 	pool.dispatch({
 		...(origin === undefined ? {} : {origin}),
 		method,
@@ -86,7 +86,7 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler {
 	readonly #maximumBytes: number;
 	readonly #report: (result: ExchangeResult) => void;
-	readonly #ends: OrderlyEnds | undefined;
+	readonly #connections: WatchedConnections | undefined;
 	readonly #body = new BodyBuffer();
 	#controller: Dispatcher.DispatchController | undefined;
 	#isAborted = false;
@@ -96,10 +96,10 @@
 	#status = 0;
 	#headers: string[] = [];
 
-	constructor(maximumBytes: number, report: (result: ExchangeResult) => void, ends: OrderlyEnds | undefined) {
+	constructor(maximumBytes: number, report: (result: ExchangeResult) => void, connections: WatchedConnections | undefined) {
 		this.#maximumBytes = maximumBytes;
 		this.#report = report;
-		this.#ends = ends;
+		this.#connections = connections;
 	}
 
 	abort(): void {
@@ -154,7 +154,7 @@
 
 	/** An answer that does not say itself where it ends does so with its connection, if that ends in order. */
 	#isWhole(): boolean {
-		return bodilessStatuses.has(this.#status) || lengthHeaders.some(name => findHeader(this.#headers, name) !== undefined) || this.#ends?.isTelling === true;
+		return bodilessStatuses.has(this.#status) || lengthHeaders.some(name => findHeader(this.#headers, name) !== undefined) || this.#connections?.isEndingInOrder === true;
 	}
 
 	#failure(): ExchangeFailure {
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -12,9 +12,10 @@
 	ExchangeFailure, startExchange, type Exchange, type ExchangeResult,
 } from './http-client.js';
 import {filterHeaders, findHeader, HeaderName} from './http-messages.js';
-import {OrderlyEnds} from './orderly-ends.js';
+
 import type {PartLog} from './logs.js';
 import type {HeaderNames} from './settings.js';
+import {WatchedConnections} from './watched-connections.js';
 
 const connectMilliseconds = 1000;
 const extraMilliseconds = 1000;
@@ -44,7 +45,7 @@
 	/** Headers of answers that are for the node, or that the caller's node sets. */
 	readonly #ownHeaders: ReadonlySet<string>;
 	readonly #open = new Map<string, Exchange>();
-	readonly #ends = new OrderlyEnds(connectMilliseconds);
+	readonly #connections = new WatchedConnections(connectMilliseconds);
 	#pool: Pool | undefined;
 	#poolKey = '';
 	#instance: string | undefined;
@@ -81,7 +82,7 @@
 
 		const previous = this.#pool;
 		this.#poolKey = key;
-		this.#pool = new Pool(`http://${address}`, {connections: connectionCount, pipelining: 1, connect: this.#ends.connect});
+		this.#pool = new Pool(`http://${address}`, {connections: connectionCount, pipelining: 1, connect: this.#connections.connect});
 		this.#log.info(`${service} ${instance ?? ''} is at ${address} with ${slots} slots`);
 		void previous?.close();
 	}
@@ -106,6 +107,7 @@
 			...(requestIdName === undefined || requestId === '' ? [] : [requestIdName, requestId]),
 			...(expectedInstance === undefined || this.#instance === undefined ? [] : [expectedInstance, this.#instance]),
 		];
+		this.#connections.allowBody(answerBytesLimit);
 		const timeoutMilliseconds = Math.min(longestMilliseconds, (timeLeftMilliseconds * 2) + extraMilliseconds);
 		const exchange = startExchange(this.#pool, {
 			method: request.method,
@@ -118,7 +120,7 @@
 		}, result => {
 			this.#open.delete(callId);
 			this.#report(effect, result);
-		}, this.#ends);
+		}, this.#connections);
 		this.#open.set(callId, exchange);
 	}
 
