Test requests without end

Empty lines and zeros before a chunk's size are passed over by the runtime's parser; they end by the time for a request (1 s in the test), after the 256 MiB that the test sends at most.

--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -16,7 +16,7 @@
 type AnswerCaller = Extract<NodeEffect, {type: NodeEffectType.AnswerCaller}>;
 
 /** A server before a core that only notes what it is told, and answers when the test says so. */
-async function start(t: Test): Promise<{
+async function start(t: Test, slowSenderMilliseconds = 5000): Promise<{
 	server: CallersServer; messages: CoreMessage[]; told: EventTarget; answer: (entryId: number, body: string | Buffer) => void; connect: () => Promise<Socket>;
 }> {
 	const messages: CoreMessage[] = [];
@@ -33,7 +33,7 @@
 		},
 	} as unknown as CoreTask;
 	const server = new CallersServer({
-		core, requestBytes: 100_000, openRequests: 100, slowSenderMilliseconds: 5000, headers: {timeLeft: 'x-time', requestId: 'x-id'}, service: 'catalogue', observeAnswer: silent, own: undefined as unknown as OwnInterface,
+		core, requestBytes: 100_000, openRequests: 100, slowSenderMilliseconds, headers: {timeLeft: 'x-time', requestId: 'x-id'}, service: 'catalogue', observeAnswer: silent, own: undefined as unknown as OwnInterface,
 	});
 	const [port] = await findFreePorts(1);
 	await server.listen(port!, '127.0.0.1');
@@ -171,3 +171,61 @@
 	answer(requestsOf(messages)[1]!.entryId, 'small body');
 	t.match(await readUntil(quick, 'small body'), /^HTTP\/1\.1 200 /u);
 });
+
+const mostTakenBytes = 32 * 1024 * 1024;
+const mostSentBytes = 256 * 1024 * 1024;
+const chunkedHead = 'PUT /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n';
+const endless: Readonly<Record<string, readonly [first: string, part: string]>> = {
+	'a request line': ['GET /', 'x'],
+	'a header line': ['GET / HTTP/1.1\r\nhost: h\r\nx: ', 'y'],
+	'header lines': ['GET / HTTP/1.1\r\nhost: h\r\n', 'x: y\r\n'],
+	chunks: [chunkedHead, '5\r\nabcde\r\n'],
+	'a chunk extension': [`${chunkedHead}1;x=`, 'y'],
+	'trailer lines': [`${chunkedHead}0\r\n`, 'x: y\r\n'],
+	'no HTTP': ['', '\u0000zq'],
+};
+
+/** Bytes that the parser passes over; only the time for a request ends them. */
+const passedOver: Readonly<Record<string, readonly [first: string, part: string]>> = {
+	'empty lines': ['', '\r\n'],
+	'a chunk size': [chunkedHead, '0'],
+};
+
+/** Has one caller send without end and another one ask; the bytes that the first one sent until its connection was closed. */
+async function sendWithoutEnd(t: Test, first: string, part: string): Promise<number> {
+	const {server, messages, told, answer, connect} = await start(t, 1000);
+	server.setLimits({bodyBytes: 10_000, headerMilliseconds: 500});
+	const [endlessCaller, other] = [await connect(), await connect()];
+	const bytes = Buffer.from(part.repeat(Math.ceil(65_536 / part.length)));
+	const more = (): void => {
+		if (!endlessCaller.destroyed && endlessCaller.bytesWritten < mostSentBytes) {
+			endlessCaller.write(bytes, more);
+		}
+	};
+
+	const isClosed = new Promise(resolve => {
+		endlessCaller.once('close', resolve);
+	});
+	endlessCaller.resume();
+	endlessCaller.write(first);
+	more();
+	other.write('GET /other HTTP/1.1\r\nhost: h\r\n\r\n');
+	await untilRequested(told, messages, 1);
+	answer(requestsOf(messages)[0]!.entryId, 'other body');
+	t.match(await readUntil(other, 'other body'), /^HTTP\/1\.1 200 /u);
+	await isClosed;
+	t.same(requestsOf(messages).map(({request}) => request.target), ['/other']);
+	return endlessCaller.bytesWritten;
+}
+
+for (const [name, [first, part]] of Object.entries(endless)) {
+	test(`a request without end is cut off, and holds up no other caller: ${name}`, async t => {
+		t.ok(await sendWithoutEnd(t, first, part) < mostTakenBytes);
+	});
+}
+
+for (const [name, [first, part]] of Object.entries(passedOver)) {
+	test(`a request without end is cut off in time, and holds up no other caller: ${name}`, async t => {
+		t.ok(await sendWithoutEnd(t, first, part));
+	});
+}
