--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -3,8 +3,14 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
+import {BodyBuffer} from './body-buffer.js';
+import {bodilessStatuses, findHeader} from './http-messages.js';
+import type {WatchedConnections} from './watched-connections.js';
+
+/** Headers with which an answer says where it ends. */
+const lengthHeaders = ['content-length', 'transfer-encoding'];
 
 /** How an exchange failed. */
 export enum ExchangeFailure {
@@ -19,8 +25,12 @@
 }
 
 export type ExchangeResult
-	= | {readonly success: true; readonly status: number; readonly headers: string[]; readonly body: Buffer}
-		| {readonly success: false; readonly failure: ExchangeFailure};
+	= | {
+		readonly success: true; readonly status: number; readonly headers: string[]; readonly body: Buffer;
+		/** False when it ended with its connection, which may have been cut. */
+		readonly isWhole: boolean;
+	}
+	| {readonly success: false; readonly failure: ExchangeFailure};
 
 export type ExchangeRequest = {
 	/** Where the request goes, when the dispatcher has more than one destination. */
@@ -32,6 +42,8 @@
 	readonly maximumBytes: number;
 	/** Longest wait for the head of the answer and between its parts. */
 	readonly timeoutMilliseconds: number;
+	/** Longest time for the whole exchange, however steadily parts of an answer come. */
+	readonly totalMilliseconds: number;
 };
 
 /** An exchange under way. */
@@ -46,9 +58,15 @@
  * @example
  * const exchange = startExchange(pool, request, result => console.log(result));
  */
-export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void): Exchange {
-	const handler = new ExchangeHandler(request.maximumBytes, report);
-	const {origin, method, path, headers, body, timeoutMilliseconds} = request;
+export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void, connections?: WatchedConnections): Exchange {
+	const {origin, method, path, headers, body, timeoutMilliseconds, totalMilliseconds} = request;
+	const deadline = setTimeout(() => {
+		handler.expire();
+	}, totalMilliseconds);
+	const handler = new ExchangeHandler(request.maximumBytes, result => {
+		clearTimeout(deadline);
+		report(result);
+	}, connections);
 	pool.dispatch({
 		...(origin === undefined ? {} : {origin}),
 		method,
@@ -68,18 +86,20 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler {
 	readonly #maximumBytes: number;
 	readonly #report: (result: ExchangeResult) => void;
-	readonly #chunks: Buffer[] = [];
+	readonly #connections: WatchedConnections | undefined;
+	readonly #body = new BodyBuffer();
 	#controller: Dispatcher.DispatchController | undefined;
 	#isAborted = false;
+	#isExpired = false;
 	#isTooLarge = false;
 	#isReported = false;
 	#status = 0;
 	#headers: string[] = [];
-	#length = 0;
 
-	constructor(maximumBytes: number, report: (result: ExchangeResult) => void) {
+	constructor(maximumBytes: number, report: (result: ExchangeResult) => void, connections: WatchedConnections | undefined) {
 		this.#maximumBytes = maximumBytes;
 		this.#report = report;
+		this.#connections = connections;
 	}
 
 	abort(): void {
@@ -87,9 +107,15 @@
 		this.#controller?.abort(new Error('The exchange was aborted'));
 	}
 
+	/** Ends an exchange that has taken too long; one that still waits for a connection ends when it gets one. */
+	expire(): void {
+		this.#isExpired = true;
+		this.#controller?.abort(new Error('The exchange took too long'));
+	}
+
 	/** Called just before the request is written. */
 	onRequestStart(controller: Dispatcher.DispatchController): void {
-		if (this.#isAborted) {
+		if (this.#isAborted || this.#isExpired) {
 			controller.abort(new Error('The exchange was aborted'));
 			return;
 		}
@@ -107,20 +133,18 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		this.#length += chunk.length;
-		if (this.#length > this.#maximumBytes) {
+		if (this.#body.length + chunk.length > this.#maximumBytes) {
 			this.#isTooLarge = true;
 			controller.abort(new Error('The answer is too large'));
 			return;
 		}
 
-		this.#chunks.push(chunk);
+		this.#body.add(chunk);
 	}
 
 	onResponseEnd(): void {
-		const body = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks, this.#length);
 		this.#reportOnce({
-			success: true, status: this.#status, headers: this.#headers, body,
+			success: true, status: this.#status, headers: this.#headers, body: this.#body.bytes, isWhole: this.#isWhole(),
 		});
 	}
 
@@ -128,6 +152,11 @@
 		this.#reportOnce({success: false, failure: this.#failure()});
 	}
 
+	/** An answer that does not say itself where it ends does so with its connection, if that ends in order. */
+	#isWhole(): boolean {
+		return bodilessStatuses.has(this.#status) || lengthHeaders.some(name => findHeader(this.#headers, name) !== undefined) || this.#connections?.isEndingInOrder === true;
+	}
+
 	#failure(): ExchangeFailure {
 		if (this.#controller === undefined) {
 			return ExchangeFailure.NotConnected;
