--- /dev/null
+++ b/benchmarks/src/bare-node.ts
@@ -0,0 +1,81 @@
+/**
+ * A node without decisions: the runtime's HTTP server, one frame over a link, undici to the upstream, and back.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {createServer, type ServerResponse} from 'node:http';
+import {connect, createServer as createLinkServer, type Socket} from 'node:net';
+import process from 'node:process';
+import {
+	frameHead, FrameReader, FrameType, type Frame,
+} from '@laburnumspool/protocol';
+import {cac} from 'cac';
+import {Pool} from 'undici';
+
+const maximumFrameBytes = 1024 * 1024;
+const connections = 40;
+const numberBytes = 4;
+
+function listenToFrames(socket: Socket, take: (frame: Frame) => void): void {
+	const reader = new FrameReader(maximumFrameBytes);
+	socket.on('data', (chunk: Buffer) => {
+		reader.push(chunk).map(frame => take(frame));
+	});
+}
+
+function send(socket: Socket, type: FrameType, number: number, text: string): void {
+	const content = Buffer.allocUnsafe(numberBytes + Buffer.byteLength(text));
+	content.writeUInt32BE(number, 0);
+	content.write(text, numberBytes);
+	socket.write(Buffer.concat([frameHead(type, content.length), content]));
+}
+
+/** Serves calls of the other node by the own upstream. */
+function serve(port: number, upstream: string): void {
+	const pool = new Pool(`http://${upstream}`, {connections, pipelining: 1});
+	createLinkServer(socket => {
+		listenToFrames(socket, ({content}) => {
+			void pool.request({method: 'GET', path: content.toString('utf8', numberBytes)}).then(async answer => {
+				send(socket, FrameType.Answer, content.readUInt32BE(0), await answer.body.text());
+			});
+		});
+	}).listen(port, '127.0.0.1');
+}
+
+/** Takes requests, and sends each to the other node. */
+function enter(port: number, peer: number): void {
+	const waiting = new Map<number, ServerResponse>();
+	let link: Socket | undefined;
+	let lastNumber = 0;
+	const open = (): Socket => {
+		const socket = connect(peer, '127.0.0.1');
+		listenToFrames(socket, ({content}) => {
+			const number = content.readUInt32BE(0);
+			waiting.get(number)?.writeHead(200, ['content-type', 'application/json', 'content-length', String(content.length - numberBytes)]).end(content.subarray(numberBytes));
+			waiting.delete(number);
+		});
+		return socket;
+	};
+
+	createServer((request, response) => {
+		link ??= open();
+		lastNumber += 1;
+		waiting.set(lastNumber, response);
+		send(link, FrameType.Call, lastNumber, request.url ?? '/');
+	}).listen(port, '127.0.0.1', () => {
+		process.stdout.write('node: ready\n');
+	});
+}
+
+process.once('SIGTERM', () => {
+	process.exit(0); // eslint-disable-line unicorn/no-process-exit
+});
+const cli = cac('bare-node');
+cli.option('--callers <port>', 'Port for callers');
+cli.option('--peers <port>', 'Port for the other node');
+cli.option('--peer <port>', 'Port of the other node');
+cli.option('--upstream <address>', 'Address of the upstream');
+const {options} = cli.parse();
+serve(Number(options.peers), String(options.upstream));
+enter(Number(options.callers), Number(options.peer));
