--- a/benchmarks/src/bare-node.ts
+++ b/benchmarks/src/bare-node.ts
@@ -69,7 +69,7 @@
 }
 
 process.once('SIGTERM', () => {
-	process.exit(0); // eslint-disable-line unicorn/no-process-exit
+	process.exit(0);
 });
 const cli = cac('bare-node');
 cli.option('--callers <port>', 'Port for callers');
--- a/benchmarks/src/call-cost-system.ts
+++ b/benchmarks/src/call-cost-system.ts
@@ -53,7 +53,7 @@
 		service: services[index % services.length]!,
 		ports: ports.slice(index * portsPerNode, (index + 1) * portsPerNode),
 	}));
-	const upstreams = await Promise.all(places.map(async ({ports: [, , , port]}) => startUpstream(port!)));
+	const upstreams = await Promise.all(places.map(async ({ports}) => startUpstream(ports.at(-1)!)));
 	const closeUpstreams = (): void => {
 		upstreams.map(server => {
 			server.closeAllConnections();
@@ -63,7 +63,7 @@
 
 	if (arm.command === undefined) {
 		const program = join(root, 'benchmarks/dist/bare-node.js');
-		const nodes = await Promise.all(places.map(async ({index, ports: [callers, peers, , upstream]}) => startReady(`bare-${index}`, [
+		const nodes = await Promise.all(places.map(async ({index, ports: [callers, peers, _control, upstream]}) => startReady(`bare-${index}`, [
 			...extra, program, '--callers', String(callers), '--peers', String(peers), '--upstream', `127.0.0.1:${upstream}`, '--peer', String(places[(index + 1) % count]!.ports[1]),
 		])));
 		return {
@@ -100,7 +100,7 @@
 		}));
 		return startReady(name, [...extra, ...arm.command!, '--settings', file]);
 	}));
-	const announcing = places.map(({service, ports: [callers, , , upstream]}) => announce(`127.0.0.1:${callers}`, service.service, upstream!));
+	const announcing = places.map(({service, ports}) => announce(`127.0.0.1:${ports[0]}`, service.service, ports.at(-1)!));
 	await waitUntilJoined(places.map(({ports: [callers]}) => `127.0.0.1:${callers}`));
 	return {
 		nodes,
--- a/benchmarks/src/call-cost.ts
+++ b/benchmarks/src/call-cost.ts
@@ -19,13 +19,13 @@
 
 const ownNode = join(fileURLToPath(new URL('../../', import.meta.url)), 'packages/node/dist/main.js');
 const settleMilliseconds = 2000;
-const restMilliseconds = 4000;
+
 const hardwareCounters = 'instructions,cycles,cache-misses';
 
 /** Figures of one arm in one round, by the name of their column. */
 type Figures = Readonly<Record<string, number>>;
 
-type Options = {readonly nodes: number; readonly rate: number; readonly seconds: number; readonly profile?: string};
+type Options = {readonly nodes: number; readonly rate: number; readonly seconds: number; readonly restSeconds: number; readonly profile?: string};
 
 /** Calls a second that the nodes get in all, each in turn; each node sees as many again of its neighbours. */
 async function load({targets}: CostSystem, rate: number, seconds: number): Promise<{answered: number; failed: number}> {
@@ -68,32 +68,34 @@
 	}));
 }
 
-async function measure(arm: Arm, {nodes, rate, seconds, profile}: Options): Promise<Figures> {
+async function measure(arm: Arm, {
+	nodes, rate, seconds, restSeconds, profile,
+}: Options): Promise<Figures> {
 	const extra = ['--trace-gc', ...(profile === undefined ? [] : ['--cpu-prof', '--cpu-prof-dir', join(profile, arm.name)])];
 	const system = await startCostSystem(arm, nodes, extra, profile === undefined ? 'SIGKILL' : 'SIGTERM');
 	try {
 		const started = sumUsage(system);
 		await delay(settleMilliseconds);
 		const settled = sumUsage(system);
-		await delay(restMilliseconds);
+		await delay(restSeconds * 1000);
 		const before = sumUsage(system);
 		const linesBefore = system.nodes.map(node => node.lines.length);
 		const {answered, failed} = await load(system, rate * nodes / 2, seconds);
 		const after = sumUsage(system);
 		const collections = system.nodes.map((node, index) => readCollections(node.lines.slice(linesBefore[index])));
 		const total = (pick: (collection: ReturnType<typeof readCollections>) => number): number => collections.reduce((sum, collection) => sum + pick(collection), 0);
-		const restSeconds = nodes * restMilliseconds / 1000;
+		const idleSeconds = nodes * restSeconds;
 		return {
 			'start s': started.processorSeconds / nodes,
-			'rest ms/s': (before.processorSeconds - settled.processorSeconds) * 1000 / restSeconds,
-			'rest wakes/s': (before.wakeUps - settled.wakeUps) / restSeconds,
+			'rest ms/s': (before.processorSeconds - settled.processorSeconds) * 1000 / idleSeconds,
+			'rest wakes/s': (before.wakeUps - settled.wakeUps) / idleSeconds,
 			'cpu ms': (after.processorSeconds - before.processorSeconds) * 1000 / answered,
-			'wakes': (after.wakeUps - before.wakeUps) / answered,
+			wakes: (after.wakeUps - before.wakeUps) / answered,
 			'kB made': total(({allocatedBytes}) => allocatedBytes) / 1024 / answered,
 			'gc ms': total(({milliseconds}) => milliseconds) / answered,
-			'MB': after.residentMegabytes / nodes,
-			'answered': answered,
-			'failed': failed,
+			MB: after.residentMegabytes / nodes,
+			answered,
+			failed,
 		};
 	} finally {
 		await system.stop();
@@ -141,6 +143,7 @@
 cli.option('--nodes <count>', 'Nodes', {default: 4});
 cli.option('--rate <calls>', 'Calls a second that each node sees, as entry or as serving node', {default: 200});
 cli.option('--seconds <seconds>', 'Time of the load', {default: 20});
+cli.option('--rest <seconds>', 'Time without load before it', {default: 4});
 cli.option('--rounds <count>', 'Rounds; arms take turns in each', {default: 1});
 cli.option('--core <number>', 'Core for all processes', {default: 1});
 cli.option('--no-bare', 'Leave the bare hops out');
@@ -152,7 +155,11 @@
 	...(options.bare === false ? [] : [{name: 'bare', command: undefined}]),
 ];
 const shape: Options = {
-	nodes: Number(options.nodes), rate: Number(options.rate), seconds: Number(options.seconds), ...(options.profile === undefined ? {} : {profile: String(options.profile)}),
+	nodes: Number(options.nodes),
+	rate: Number(options.rate),
+	seconds: Number(options.seconds),
+	restSeconds: Number(options.rest),
+	...(options.profile === undefined ? {} : {profile: String(options.profile)}),
 };
 process.stdout.write(`${await describeCounters()}\n${bindTo(Number(options.core))}\n`);
 const results = new Map<string, Figures[]>(arms.map(arm => [arm.name, []]));
@@ -165,4 +172,5 @@
 
 const columns = Object.keys([...results.values()][0]![0]!);
 const rows = [...results].map(([name, figures]) => [name, ...columns.map(column => format(figures.map(figure => figure[column]!)))]);
-process.stdout.write(`${shape.nodes} nodes, each sees ${shape.rate} calls/s for ${shape.seconds} s; ${options.rounds} rounds; median (least-most); cpu, wakes, kB and gc for each call\n${formatTable([['arm', ...columns], ...rows])}\n`);
+const title = `${shape.nodes} nodes, each sees ${shape.rate} calls/s for ${shape.seconds} s; ${options.rounds} rounds; median (least-most); cpu, wakes, kB and gc for each call`;
+process.stdout.write(`${title}\n${formatTable([['arm', ...columns], ...rows])}\n`);
--- a/benchmarks/src/process-usage.ts
+++ b/benchmarks/src/process-usage.ts
@@ -47,7 +47,7 @@
 /** A thread may end between the two looks. */
 function readField(file: string, name: string): number {
 	try {
-		return Number(new RegExp(`^${name}:\\s+(\\d+)`, 'mu').exec(readFileSync(file, 'utf8'))?.[1] ?? 0);
+		return Number(new RegExp(String.raw`^${name}:\s+(\d+)`, 'mu').exec(readFileSync(file, 'utf8'))?.[1] ?? 0);
 	} catch {
 		return 0;
 	}
