Keep no events where nothing reads them back

Callers saw nothing of it. Each call leaves two events in a ring of 20,000, which outlive the young generation and are copied twice. Only control calls read them, and the platform's deployment has none.

Change: the ring has no room where control calls are off.

--- a/packages/core/src/events/event.ts
+++ b/packages/core/src/events/event.ts
@@ -51,7 +51,7 @@
 };
 
 /**
- * The latest events of a process, up to a bound.
+ * The latest events of a process, up to a bound; none where the bound is zero.
  *
  * @example
  * ring.add(event);
@@ -74,6 +74,10 @@
 
 	add(event: NodeEvent): void {
 		this.#dropped += this.#events.length === this.#capacity ? 1 : 0;
+		if (this.#capacity === 0) {
+			return;
+		}
+
 		this.#events[this.#next] = event;
 		this.#next = (this.#next + 1) % this.#capacity;
 	}
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -77,7 +77,8 @@
  */
 export async function startDaemon(settings: Settings, openPartLog: LogMaker, deployment = ownDeployment): Promise<Daemon> {
 	const clock = (): number => performance.now();
-	const core = new CoreTask(toDefinition(settings), clock, settings.limits.events, openPartLog(LogPart.Node));
+	// Only control calls read the events back.
+	const core = new CoreTask(toDefinition(settings), clock, settings.controlCalls ? settings.limits.events : 0, openPartLog(LogPart.Node));
 	const upstream = new UpstreamClient(core, settings.headers, openPartLog(LogPart.Upstream));
 	const peersClient = new PeersClient({core, log: openPartLog(LogPart.Peers), clock});
 	const gossip = new GossipSocket(core, openPartLog(LogPart.Control));
