Load at the start only what the node uses

A node process is charged its start-up before it serves, and a killed node is back only after it.

Change: the bundle takes undici's pool and agent and prom-client's four metrics from their modules, requires built-in modules in place of importing them, and is built for production. The manifest's command no longer uses undici's global dispatcher, which would pull the index in again.

--- a/packages/manifest/src/wait.ts
+++ b/packages/manifest/src/wait.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {request} from 'undici';
+import {Agent} from 'undici';
 import * as valibot from 'valibot';
 
 const answerMilliseconds = 2000;
@@ -33,8 +33,7 @@
 
 async function readRevision(node: string): Promise<number> {
 	try {
-		const response = await request(`http://${node}/laburnumspool/v1/health`, {headersTimeout: answerMilliseconds, bodyTimeout: answerMilliseconds});
-		const result = valibot.safeParse(healthSchema, await response.body.json());
+		const result = valibot.safeParse(healthSchema, await read(node, 'health'));
 		return result.success ? result.output.revision : 0;
 	} catch {
 		return 0;
@@ -43,7 +42,16 @@
 
 /** Addresses of the callers' ports of all live nodes, as one node knows them. */
 export async function readLiveNodes(node: string): Promise<string[]> {
-	const response = await request(`http://${node}/laburnumspool/v1/members`, {headersTimeout: answerMilliseconds, bodyTimeout: answerMilliseconds});
-	const result = valibot.parse(membersSchema, await response.body.json());
+	const result = valibot.parse(membersSchema, await read(node, 'members'));
 	return result.members.map(member => member.callers);
 }
+
+async function read(node: string, name: string): Promise<unknown> {
+	const agent = new Agent({headersTimeout: answerMilliseconds, bodyTimeout: answerMilliseconds});
+	try {
+		const response = await agent.request({origin: `http://${node}`, path: `/laburnumspool/v1/${name}`, method: 'GET'});
+		return await response.body.json();
+	} finally {
+		await agent.destroy();
+	}
+}
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -2,6 +2,7 @@
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
+import {leanStart} from '../packages/node/bundle/lean-start.js';
 
 const root = fileURLToPath(new URL('../', import.meta.url));
 const source = name => path.join(root, 'packages', name, 'src/index.ts');
@@ -24,5 +25,7 @@
 	},
 	// Modules of the older form that are bundled still ask for built-in ones by name.
 	banner: {js: 'import {createRequire} from \'node:module\'; const require = createRequire(import.meta.url);'},
+	define: {'process.env.NODE_ENV': '"production"'},
+	plugins: [leanStart],
 	logLevel: 'warning',
 });
