Watch links and set gauges on the tick of the core

A node at rest woke 27 to 34 times a second: ten ticks, five looks at the links, one for the gauges, announcements, gossip.

Change: one timer for the three.

Five a second, the aim, is not reached: ten ticks, and announcements, gossip and the timers of the libraries are left.

--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -147,25 +147,29 @@
 	]);
 	const controlCalls = settings.controlCalls ? await startControlCalls(settings, core, clock) : undefined;
 	store.start();
+	let [watchedAt, gaugedAt] = [clock(), clock()];
+	// One timer for all: each wake-up of an idle process has a price of its own.
 	const tick = (): void => {
+		const now = clock();
 		core.post({type: CoreMessageType.Tick});
+		if (now - watchedAt >= linkWatchMilliseconds) {
+			watchedAt = now;
+			peersClient.watch();
+		}
+
+		if (now - gaugedAt >= gaugeMilliseconds) {
+			gaugedAt = now;
+			metrics.gauge(core.core);
+			peersClient.keepOnly(core.core.members);
+			controlCalls?.closeIdle();
+		}
+
 		ticks = setTimeout(tick, core.core.openCalls > 0 ? busyTickMilliseconds : idleTickMilliseconds);
 	};
 
 	let ticks = setTimeout(tick, idleTickMilliseconds);
-	const watches = setInterval(() => {
-		peersClient.watch();
-	}, linkWatchMilliseconds);
-	const gauges = setInterval(() => {
-		metrics.gauge(core.core);
-		peersClient.keepOnly(core.core.members);
-		controlCalls?.closeIdle();
-	}, gaugeMilliseconds);
-
 	const close = async (): Promise<void> => {
 		clearTimeout(ticks);
-		clearInterval(gauges);
-		clearInterval(watches);
 		callersServer.close();
 		peersServer.close();
 		ownServers.map(({server}) => server.close());
