Tell in the log why a call was refused and why a limit changed

A refusal now tells the wait, the time left, what runs and waits, the priority and the level; a changed limit its phase, its latency and its floor. The test fails on the code before: the cause of all refusals is undefined.

--- a/benchmarks/src/tests/promises.test.ts
+++ b/benchmarks/src/tests/promises.test.ts
@@ -277,3 +277,13 @@
 	system.request('shop-0', {service: 'shop', method: 'GET', target: '/none'}, answer => answers.push(answer));
 	t.match(answers, [{outcome: Outcome.NotRun, error: {kind: ErrorKind.UnknownService}}, {outcome: Outcome.NotRun, error: {kind: ErrorKind.UnknownRequestKind}}]);
 });
+
+test('a refusal tells how long the call waited and what was in its way', async t => {
+	const system = startSystem(19);
+	Array.from({length: 400}, (_, index) => send(system, `shop-${index % 3}`, `/browse/${index}`));
+	system.runUntil(system.now + 2000);
+	const refusals = system.events.filter(event => event.type === EventType.Refused);
+	t.ok(refusals.length > 0);
+	t.same(refusals.filter(({cause}) => !/^after \d+ ms with -?\d+ ms left: \d+ of \d+ run, \d+ wait, priority \d+, level \d+$/u.test(cause ?? '')), []);
+	t.same(system.events.filter(event => event.type === EventType.LimitChanged && event.cause === undefined), []);
+});
--- a/packages/core/src/admission/adaptive-limit.ts
+++ b/packages/core/src/admission/adaptive-limit.ts
@@ -51,6 +51,7 @@
 	#floorMilliseconds = Infinity;
 	#beforeProbe = {limit: 0, milliseconds: 0};
 	#window = emptyWindow(0);
+	#lastWindow = {milliseconds: 0, saturatedShare: 0};
 
 	constructor(slots: number) {
 		this.#slots = Math.max(1, slots);
@@ -70,6 +71,12 @@
 		return this.#slots;
 	}
 
+	/** What the limit goes by, in words. */
+	get cause(): string {
+		const {milliseconds, saturatedShare} = this.#lastWindow;
+		return `${this.#phase}: ${milliseconds.toFixed(1)} ms, floor ${this.#floorMilliseconds.toFixed(1)} ms, saturated ${saturatedShare.toFixed(2)}`;
+	}
+
 	/** Notes the announced slots; more slots make room that the limit still has to grow into. */
 	setSlots(slots: number): void {
 		this.#slots = Math.max(1, slots);
@@ -162,6 +169,7 @@
 		const {samples, totalMilliseconds, saturated} = this.#window;
 		this.#window = emptyWindow(now);
 		const mean = totalMilliseconds / samples;
+		this.#lastWindow = {milliseconds: mean, saturatedShare: saturated / samples};
 		if (samples < minimumWindowSamples && this.#phase === LimitPhase.Probing) {
 			this.#endProbe(mean, false);
 			return;
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -7,7 +7,7 @@
 import {CallIds} from '../action/call-id.js';
 import {formatTraceContext} from '../action/trace-context.js';
 import type {Guard} from '../admission/guard.js';
-import type {CancelResult} from '../admission/work.js';
+import type {CancelResult, Work} from '../admission/work.js';
 import {Entry} from '../entry/entry.js';
 import {EntryEffectType, type EntryEffect, type EntryRequest} from '../entry/entry-call.js';
 import {EventType} from '../events/event.js';
@@ -84,7 +84,7 @@
 		[ServingEffectType.Once]: ({effect}) => this.#parts.onceEffects.carryOut(effect),
 		[ServingEffectType.Admitted]: ({frame}) => [this.#callEvent(EventType.Admitted, frame, frame.callId)],
 		[ServingEffectType.Preempted]: ({frame}) => [this.#callEvent(EventType.Preempted, frame, frame.callId)],
-		[ServingEffectType.Refused]: ({frame, reason}) => [this.#callEvent(EventType.Refused, frame, reason)],
+		[ServingEffectType.Refused]: ({frame, work, reason}, now) => [this.#callEvent(EventType.Refused, frame, reason, this.#refusalCause(work, now))],
 	};
 
 	constructor(parts: CallFlowParts) {
@@ -215,12 +215,17 @@
 		}
 	}
 
-	#callEvent(type: EventType, frame: CallFrame, detail: string): NodeEffect {
+	#callEvent(type: EventType, frame: CallFrame, detail: string, cause?: string): NodeEffect {
 		return this.#parts.makeEvent({
-			type, action: frame.action.actionId, request: frame.requestId, service: frame.service, kind: frame.kind, detail,
+			type, action: frame.action.actionId, request: frame.requestId, service: frame.service, kind: frame.kind, detail, ...(cause === undefined ? {} : {cause}),
 		});
 	}
 
+	#refusalCause({arrivedAt, deadline, priority}: Work, now: number): string {
+		const {inFlight, waiting, limit, load: {level}} = this.#parts.guard;
+		return `after ${Math.round(now - arrivedAt)} ms with ${Math.round(deadline - now)} ms left: ${inFlight} of ${limit.value} run, ${waiting} wait, priority ${priority}, level ${level}`;
+	}
+
 	/** Calls that the manifest states and calls that the upstream was seen to make for the kind. */
 	#levelBelow(kind: string, now: number): number {
 		const {policies, membership, router} = this.#parts;
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -365,7 +365,9 @@
 
 		const detail = `${this.#lastLimit} to ${limit}`;
 		this.#lastLimit = limit;
-		return [this.#event({type: EventType.LimitChanged, service: this.own.service, detail})];
+		return [this.#event({
+			type: EventType.LimitChanged, service: this.own.service, detail, cause: this.#guard.limit.cause,
+		})];
 	}
 
 	#answerCaller(entryId: number, outcome: Outcome, error: {readonly kind: ErrorKind; readonly detail: string}): NodeEffect {
--- a/packages/core/src/serving/served-call.ts
+++ b/packages/core/src/serving/served-call.ts
@@ -47,7 +47,7 @@
 		| {readonly type: ServingEffectType.Once; readonly effect: OnceEffect}
 		| {readonly type: ServingEffectType.Admitted; readonly frame: CallFrame}
 		| {readonly type: ServingEffectType.Preempted; readonly frame: CallFrame}
-		| {readonly type: ServingEffectType.Refused; readonly frame: CallFrame; readonly reason: ErrorKind};
+		| {readonly type: ServingEffectType.Refused; readonly frame: CallFrame; readonly work: Work; readonly reason: ErrorKind};
 
 /** State of one call between its arrival and its answer. */
 export type ServedCall = {
--- a/packages/core/src/serving/serving.ts
+++ b/packages/core/src/serving/serving.ts
@@ -316,7 +316,9 @@
 	}
 
 	#refusedEvent(call: ServedCall, reason: ErrorKind): ServingEffect {
-		return {type: ServingEffectType.Refused, frame: call.frame, reason};
+		return {
+			type: ServingEffectType.Refused, frame: call.frame, work: call.work, reason,
+		};
 	}
 
 	/** A copy of the request may be running for a later call. */
