Take only a last coding of chunks for an answer's own end

Any transfer-encoding header counted as an end of the answer's own. A body whose last coding is not chunks ends with its connection (RFC 9112, section 6.3), and a reset that comes with its last bytes is reported as an end.

Change: with a transfer coding only a last one of chunks says where the answer ends; else a length does, else an orderly end of the connection.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -9,9 +9,6 @@
 import {bodilessStatuses, findHeader} from './http-messages.js';
 import type {WatchedConnections} from './watched-connections.js';
 
-/** Headers with which an answer says where it ends. */
-const lengthHeaders = ['content-length', 'transfer-encoding'];
-
 /** How an exchange failed. */
 export enum ExchangeFailure {
 	/** Nothing was written to a connection. */
@@ -154,7 +151,7 @@
 
 	/** An answer that does not say itself where it ends does so with its connection, if that ends in order. */
 	#isWhole(): boolean {
-		return bodilessStatuses.has(this.#status) || lengthHeaders.some(name => findHeader(this.#headers, name) !== undefined) || this.#connections?.isEndingInOrder === true;
+		return bodilessStatuses.has(this.#status) || isSelfDelimiting(this.#headers) || this.#connections?.isEndingInOrder === true;
 	}
 
 	#failure(): ExchangeFailure {
@@ -179,6 +176,12 @@
 	}
 }
 
+/** Whether an answer says itself where it ends (RFC 9112, section 6.3): only a last coding of chunks does, or else a length. */
+function isSelfDelimiting(headers: readonly string[]): boolean {
+	const codings = headers.flatMap((name, position) => position % 2 === 0 && name === 'transfer-encoding' ? headers[position + 1]!.split(',') : []);
+	return codings.length === 0 ? findHeader(headers, 'content-length') !== undefined : codings.at(-1)!.trim().toLowerCase() === 'chunked';
+}
+
 /** Names and values in turn. */
 function toPairs(headers: Record<string, string | string[] | undefined>): string[] {
 	const pairs: string[] = [];
--- /dev/null
+++ b/packages/node/src/tests/answer-ends.test.ts
@@ -0,0 +1,27 @@
+import type {Socket} from 'node:net';
+import {UpstreamFailure} from '@laburnumspool/core';
+import {test} from 'tap';
+import {start} from './raw-upstream.js';
+
+const repetitions = 20;
+
+const cutAnswer = (requestId: string, line = ''): string => `HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\n${line}\r\nabc`;
+
+function cut(socket: Socket, bytes: string): void {
+	socket.write(bytes);
+	socket.resetAndDestroy();
+}
+
+/** Codings after which a body ends with its connection (RFC 9112, section 6.3). */
+const codings = ['gzip', 'identity', 'chunked, gzip', 'xchunked', ''];
+
+for (const coding of codings) {
+	test(`an answer whose last coding is not chunked and that is cut is none: "${coding}"`, async t => {
+		const {call} = await start(t, (requestId, socket) => {
+			cut(socket, cutAnswer(requestId, `transfer-encoding: ${coding}\r\n`));
+		});
+		for (let number = 1; number <= repetitions; number++) {
+			t.equal(await call(number), UpstreamFailure.Broken);
+		}
+	});
+}
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -12,7 +12,6 @@
 	ExchangeFailure, startExchange, type Exchange, type ExchangeResult,
 } from './http-client.js';
 import {filterHeaders, findHeader, HeaderName} from './http-messages.js';
-
 import type {PartLog} from './logs.js';
 import type {HeaderNames} from './settings.js';
 import {WatchedConnections} from './watched-connections.js';
