Look at the peer of an ended connection whoever has read it before

What callers could see: half an answer without a length as a whole one, in a process that also runs an observer of the client library.

Cause: the runtime asks the kernel for the address of a peer once and keeps it. An observer of the library's diagnostics channel that reads the address takes that one time, and the look at the end of the connection finds it after a reset too.

Change: others get the address from the connection's own properties; only the look at the end asks the kernel.

--- a/packages/node/src/tests/answer-ends.test.ts
+++ b/packages/node/src/tests/answer-ends.test.ts
@@ -1,3 +1,4 @@
+import diagnosticsChannel from 'node:diagnostics_channel';
 import type {Socket} from 'node:net';
 import {UpstreamFailure} from '@laburnumspool/core';
 import {test} from 'tap';
@@ -25,3 +26,18 @@
 		}
 	});
 }
+
+test('an answer without a length that is cut is none, also when an observer has read the address of the peer', async t => {
+	const read = (message: unknown): void => {
+		t.ok((message as {socket: Socket}).socket.remoteAddress);
+	};
+
+	diagnosticsChannel.subscribe('undici:client:sendHeaders', read);
+	t.teardown(() => diagnosticsChannel.unsubscribe('undici:client:sendHeaders', read));
+	const {call} = await start(t, (requestId, socket) => {
+		cut(socket, cutAnswer(requestId));
+	});
+	for (let number = 1; number <= repetitions; number++) {
+		t.equal(await call(number), UpstreamFailure.Broken);
+	}
+});
--- a/packages/node/src/watched-connections.ts
+++ b/packages/node/src/watched-connections.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type Socket} from 'node:net';
+import {isIP, Socket} from 'node:net';
 import {buildConnector} from 'undici';
 
 /** Room for what stands around the bytes of a body: heads, interim answers, sizes of chunks. */
@@ -33,6 +33,7 @@
 			connect(options, (...result) => {
 				// The library adds its own listeners in the callback, so these run first.
 				if (result[1] !== null) {
+					keepAddress(result[1], options);
 					this.#watchEnd(result[1]);
 					this.#watchBytes(result[1]);
 				}
@@ -52,10 +53,9 @@
 		this.#maximumBytes = Math.max(this.#maximumBytes, bytesAround + (bytes * factorAround));
 	}
 
-	/** The address of the peer is kept once it was read; nobody reads it before. */
 	#watchEnd(socket: Socket): void {
 		socket.on('end', () => {
-			this.#isEndingInOrder = socket.remoteAddress !== undefined;
+			this.#isEndingInOrder = Reflect.get(Socket.prototype, 'remoteAddress', socket) !== undefined;
 			queueMicrotask(() => {
 				this.#isEndingInOrder = false;
 			});
@@ -75,3 +75,12 @@
 		});
 	}
 }
+
+/** The runtime asks the kernel for the peer once; others get its address from here, so that the look at the end is that one. */
+function keepAddress(socket: Socket, {hostname, port}: buildConnector.Options): void {
+	Object.defineProperties(socket, {
+		remoteAddress: {value: hostname},
+		remotePort: {value: Number(port)},
+		remoteFamily: {value: `IPv${isIP(hostname)}`},
+	});
+}
