Look at the name of an answer that is too large

What callers could see: the outcome `ran` for a request that may not have run.

Cause: the size of an answer was judged before its name, so a late second answer above the bound on answers counted as the answer of the next call on its connection.

Evidence: found by a review.

Change: a failed exchange tells the headers that came; an answer that is too large counts as such only with the request's name.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -27,7 +27,11 @@
 		/** False when it ended with its connection, which may have been cut. */
 		readonly isWhole: boolean;
 	}
-	| {readonly success: false; readonly failure: ExchangeFailure};
+	| {
+		readonly success: false; readonly failure: ExchangeFailure;
+		/** Those of the answer, as far as it came. */
+		readonly headers: readonly string[];
+	};
 
 export type ExchangeRequest = {
 	/** Where the request goes, when the dispatcher has more than one destination. */
@@ -146,7 +150,7 @@
 	}
 
 	onResponseError(): void {
-		this.#reportOnce({success: false, failure: this.#failure()});
+		this.#reportOnce({success: false, failure: this.#failure(), headers: this.#headers});
 	}
 
 	/** An answer that does not say itself where it ends does so with its connection, if that ends in order. */
--- a/packages/node/src/tests/answer-ends.test.ts
+++ b/packages/node/src/tests/answer-ends.test.ts
@@ -2,9 +2,10 @@
 import type {Socket} from 'node:net';
 import {UpstreamFailure} from '@laburnumspool/core';
 import {test} from 'tap';
-import {start} from './raw-upstream.js';
+import {start, whole} from './raw-upstream.js';
 
 const repetitions = 20;
+const bytesLimit = 1000;
 
 const cutAnswer = (requestId: string, line = ''): string => `HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\n${line}\r\nabc`;
 
@@ -41,3 +42,20 @@
 		t.equal(await call(number), UpstreamFailure.Broken);
 	}
 });
+
+const lateAndLarge: Readonly<Record<string, string>> = {
+	'with a length': whole('r1', 'x'.repeat(bytesLimit + 1)),
+	'without a length': `HTTP/1.1 200 OK\r\nrequest-id: r1\r\nsignature: s\r\n\r\n${'x'.repeat(bytesLimit + 1)}`,
+};
+
+for (const [name, bytes] of Object.entries(lateAndLarge)) {
+	test(`a late second answer that is too large does not say that the next call ran: ${name}`, async t => {
+		const {call, connections} = await start(t, (requestId, socket) => {
+			socket.write((requestId === 'r2' ? bytes : '') + whole(requestId, requestId));
+		}, {answerBytesLimit: bytesLimit});
+		t.equal(await call(1), '200 r1');
+		t.equal(await call(2), UpstreamFailure.Broken);
+		t.equal(connections.length, 1, 'both went over one connection');
+		t.equal(await call(3), '200 r3');
+	});
+}
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -126,7 +126,8 @@
 	#report(effect: DispatchEffect, result: ExchangeResult): void {
 		const {callId} = effect;
 		if (!result.success) {
-			this.#core.post({type: CoreMessageType.UpstreamFailed, callId, failure: failures[result.failure]});
+			const isOwn = result.failure !== ExchangeFailure.TooLarge || this.#isNamed(effect, result.headers);
+			this.#core.post({type: CoreMessageType.UpstreamFailed, callId, failure: isOwn ? failures[result.failure] : UpstreamFailure.Broken});
 			return;
 		}
 
@@ -138,8 +139,15 @@
 			: {type: CoreMessageType.UpstreamFailed, callId, failure});
 	}
 
+	/** Whether an answer names the request, where names are in use. */
+	#isNamed({requestId}: DispatchEffect, headers: readonly string[]): boolean {
+		const {requestId: name} = this.#headers;
+		return name === undefined || requestId === '' || findHeader(headers, name) === requestId;
+	}
+
 	/** What an answer says beside its body: that the request was not run, or that the answer is not its own. */
-	#failureOf({callId, requestId}: DispatchEffect, {status, headers, isWhole}: ExchangeAnswer): UpstreamFailure | undefined {
+	#failureOf(effect: DispatchEffect, {status, headers, isWhole}: ExchangeAnswer): UpstreamFailure | undefined {
+		const {callId, requestId} = effect;
 		const {notExecuted, requestId: requestIdName, signature} = this.#headers;
 		const repeated = findHeader(headers, requestIdName);
 		if (repeated !== undefined && repeated !== requestId) {
@@ -155,7 +163,7 @@
 			return UpstreamFailure.Refused;
 		}
 
-		if (requestIdName !== undefined && repeated === undefined && requestId !== '') {
+		if (!this.#isNamed(effect, headers)) {
 			this.#log.warn(`the answer to ${callId} names no request, and may be a second one of an earlier request`);
 			return UpstreamFailure.Broken;
 		}
