Take an answer to HEAD for whole with its head

What callers could see: 502 for HEAD requests, wherever an upstream states no length.

Cause: an answer to HEAD has no body, whatever its headers say; the rule on answers without a length took it for a cut one.

Evidence: found by a review. A test of answer-ends.test got `broken` on the code before.

Change: the method decides, as the statuses without a body do.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -64,7 +64,7 @@
 	const deadline = setTimeout(() => {
 		handler.expire();
 	}, totalMilliseconds);
-	const handler = new ExchangeHandler(request.maximumBytes, result => {
+	const handler = new ExchangeHandler(request, result => {
 		clearTimeout(deadline);
 		report(result);
 	}, connections);
@@ -86,6 +86,7 @@
 
 class ExchangeHandler implements Dispatcher.DispatchHandler {
 	readonly #maximumBytes: number;
+	readonly #isHead: boolean;
 	readonly #report: (result: ExchangeResult) => void;
 	readonly #connections: WatchedConnections | undefined;
 	readonly #body = new BodyBuffer();
@@ -97,8 +98,9 @@
 	#status = 0;
 	#headers: string[] = [];
 
-	constructor(maximumBytes: number, report: (result: ExchangeResult) => void, connections: WatchedConnections | undefined) {
+	constructor({maximumBytes, method}: ExchangeRequest, report: (result: ExchangeResult) => void, connections: WatchedConnections | undefined) {
 		this.#maximumBytes = maximumBytes;
+		this.#isHead = method === 'HEAD';
 		this.#report = report;
 		this.#connections = connections;
 	}
@@ -155,7 +157,7 @@
 
 	/** An answer that does not say itself where it ends does so with its connection, if that ends in order. */
 	#isWhole(): boolean {
-		return bodilessStatuses.has(this.#status) || isSelfDelimiting(this.#headers) || this.#connections?.isEndingInOrder === true;
+		return this.#isHead || bodilessStatuses.has(this.#status) || isSelfDelimiting(this.#headers) || this.#connections?.isEndingInOrder === true;
 	}
 
 	#failure(): ExchangeFailure {
--- a/packages/node/src/tests/answer-ends.test.ts
+++ b/packages/node/src/tests/answer-ends.test.ts
@@ -1,8 +1,9 @@
+import {Buffer} from 'node:buffer';
 import diagnosticsChannel from 'node:diagnostics_channel';
 import type {Socket} from 'node:net';
-import {UpstreamFailure} from '@laburnumspool/core';
+import {NodeEffectType, UpstreamFailure} from '@laburnumspool/core';
 import {test} from 'tap';
-import {start, whole} from './raw-upstream.js';
+import {start, summary, whole} from './raw-upstream.js';
 
 const repetitions = 20;
 const bytesLimit = 1000;
@@ -59,3 +60,22 @@
 		t.equal(await call(3), '200 r3');
 	});
 }
+
+test('an answer to HEAD is whole with its head', async t => {
+	const {core} = await start(t, (requestId, socket) => {
+		socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\n\r\n`);
+	});
+	core.carryOut({
+		type: NodeEffectType.Dispatch,
+		callId: 'n.1.1',
+		requestId: 'r1',
+		request: {
+			method: 'HEAD', target: '/x', headers: [], body: Buffer.alloc(0), digest: '',
+		},
+		traceparent: 'p',
+		tracestate: 's',
+		timeLeftMilliseconds: 60_000,
+		answerBytesLimit: bytesLimit,
+	});
+	t.equal(summary(await core.next()), '200 ');
+});
