Pass lists of effects on without copying them

Each step of a call made its list of effects several times over: flatMap over a list of one, and a spread of two lists of which one is empty. Events were made by spreading details of eight different shapes.

Change: lists of one are carried out as they are, an empty list is left out, and all events have the same fields in the same order.

--- a/packages/core/src/events/event.ts
+++ b/packages/core/src/events/event.ts
@@ -50,6 +50,13 @@
 	readonly node: string;
 };
 
+/** Gives details their time and place. All events have the same fields in the same order, whatever their details lack. */
+export function toEvent({type, action, request, service, kind, detail, cause}: EventDetails, time: HybridTime, node: string): NodeEvent {
+	return {
+		type, time, node, action: action!, request: request!, service: service!, kind: kind!, detail: detail!, cause: cause!,
+	};
+}
+
 /**
  * The latest events of a process, up to a bound; none where the bound is zero.
  *
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -22,6 +22,7 @@
 import type {Router} from '../routing/router.js';
 import {Serving} from '../serving/serving.js';
 import {ServingEffectType, type ServingEffect} from '../serving/served-call.js';
+import {carryOutAll, joinEffects} from './effect-lists.js';
 import {NodeEffectType, type EventMaker, type NodeEffect} from './effects.js';
 import {createLocator} from './locator.js';
 import type {NodeDefinition} from './node-definition.js';
@@ -113,15 +114,15 @@
 	}
 
 	advance(now: number): NodeEffect[] {
-		return [...this.fromServing(this.serving.advance(now), now), ...this.fromEntry(this.entry.advance(now), now)];
+		return joinEffects(this.fromServing(this.serving.advance(now), now), this.fromEntry(this.entry.advance(now), now));
 	}
 
 	fromEntry(effects: readonly EntryEffect[], now: number): NodeEffect[] {
-		return effects.flatMap(effect => (this.#entryHandlers[effect.type] as (effect: EntryEffect, now: number) => NodeEffect[])(effect, now));
+		return carryOutAll(effects, effect => (this.#entryHandlers[effect.type] as (effect: EntryEffect, now: number) => NodeEffect[])(effect, now));
 	}
 
 	fromServing(effects: readonly ServingEffect[], now: number): NodeEffect[] {
-		return effects.flatMap(effect => (this.#servingHandlers[effect.type] as (effect: ServingEffect, now: number) => NodeEffect[])(effect, now));
+		return carryOutAll(effects, effect => (this.#servingHandlers[effect.type] as (effect: ServingEffect, now: number) => NodeEffect[])(effect, now));
 	}
 
 	#createEntry(): Entry {
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -7,7 +7,7 @@
 import type {CancelResult} from '../admission/work.js';
 import type {SendFailure} from '../entry/entry-definition.js';
 import {ErrorKind, Outcome} from '../errors.js';
-import {EventType, type EventDetails} from '../events/event.js';
+import {EventType, toEvent, type EventDetails} from '../events/event.js';
 import {HybridClock, type HybridTime} from '../events/hybrid-clock.js';
 import type {Revision} from '../manifest/adoption.js';
 import {UpstreamState, type Member} from '../membership/member.js';
@@ -24,6 +24,7 @@
 import type {UpstreamFailure} from '../serving/served-call.js';
 import {CallFlow} from './call-flow.js';
 import {toEntryRequest} from './caller-requests.js';
+import {joinEffects} from './effect-lists.js';
 import {
 	NodeEffectType, type Announcement, type CallerRequest, type NodeEffect, type Withdrawal,
 } from './effects.js';
@@ -169,14 +170,14 @@
 	callArrived(frame: CallFrame, clock: HybridTime, now: number): NodeEffect[] {
 		this.#clock.observe(clock);
 		const heard = this.#versions.hearRevision(frame.revision, now);
-		return [...heard, ...this.#flow.fromServing(this.#flow.serving.receive(frame, now), now)];
+		return joinEffects(heard, this.#flow.fromServing(this.#flow.serving.receive(frame, now), now));
 	}
 
 	/** The answer to a call of this node has come. */
 	callAnswered(frame: AnswerFrame, clock: HybridTime, now: number): NodeEffect[] {
 		this.#clock.observe(clock);
 		const heard = this.#versions.hearRevision(frame.serving.revision, now);
-		return [...heard, ...this.#flow.fromEntry(this.#flow.entry.receive(frame, now), now)];
+		return joinEffects(heard, this.#flow.fromEntry(this.#flow.entry.receive(frame, now), now));
 	}
 
 	callFailed(callId: string, failure: SendFailure, now: number): NodeEffect[] {
@@ -377,6 +378,6 @@
 	}
 
 	#event(details: EventDetails): NodeEffect {
-		return {type: NodeEffectType.Event, event: {...details, time: this.#clock.next(), node: this.own.name}};
+		return {type: NodeEffectType.Event, event: toEvent(details, this.#clock.next(), this.own.name)};
 	}
 }
