Give a new backup its claims in calls that it takes

Callers saw: payments answered 504, unknown, after 3 s, while a node that had been restarted as planned became backup again.

Cause: a primary dispatches nothing until its new backup has all claims. The claims of all ranges went in one call of up to 16 MiB of answers, and a call of more than 4 MiB is refused by its receiver, again at each repeat.

The new test, 11.6 MB of answers in nine ranges, got no message within 10 s.

Change: messages of one turn are cut into calls of 512 KiB of answers, and a call may hold what one range can hold.

The primary still stands still while the claims are on their way.

--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -6,7 +6,7 @@
 import {promisify} from 'node:util';
 import {credentials, type Client} from '@grpc/grpc-js';
 import {
-	NodeEffectType, type Member, type NodeEffect,
+	NodeEffectType, OnceMessageType, type Member, type NodeEffect,
 } from '@laburnumspool/core';
 import {toWireOnceMessage} from '@laburnumspool/protocol';
 import {ControlClient, type wire} from '@laburnumspool/protocol/control';
@@ -15,6 +15,8 @@
 
 const answerMilliseconds = 1000;
 const idleMilliseconds = 60_000;
+/** Answers in the claims of one call, beyond which the next call carries what follows. */
+const callAnswerBytes = 512 * 1024;
 
 type OnceEffect = Extract<NodeEffect, {type: NodeEffectType.SendOnce}>;
 type Channel = {readonly client: Client & Record<string, (...parameters: unknown[]) => unknown>; usedAt: number};
@@ -78,7 +80,7 @@
 		}
 	}
 
-	/** Messages of one turn to one holder go in one call. */
+	/** Messages of one turn to one holder go together, in as many calls as their size needs. */
 	#sendOnce(effect: OnceEffect): void {
 		const address = addressOf(effect.to);
 		const outbox = this.#outboxes.get(address);
@@ -91,7 +93,10 @@
 		this.#outboxes.set(address, created);
 		queueMicrotask(() => {
 			this.#outboxes.delete(address);
-			void this.#call(address, 'sendOnce', toEnvelope(created.effects));
+			splitBySize(created.effects).map(effects => {
+				void this.#call(address, 'sendOnce', toEnvelope(effects));
+				return effects;
+			});
 		});
 	}
 
@@ -124,6 +129,21 @@
 	return `${member.host}:${member.controlPort}`;
 }
 
+/** Cuts the messages into parts whose answers are of bounded size together; a message alone may be larger. */
+function splitBySize(effects: readonly OnceEffect[]): OnceEffect[][] {
+	return effects.reduce<{parts: OnceEffect[][]; bytes: number}>(({parts, bytes}, effect) => {
+		const own = answerBytesOf(effect);
+		const last = parts.at(-1);
+		return last === undefined || bytes + own > callAnswerBytes
+			? {parts: [...parts, [effect]], bytes: own}
+			: {parts: [...parts.slice(0, -1), [...last, effect]], bytes: bytes + own};
+	}, {parts: [], bytes: 0}).parts;
+}
+
+function answerBytesOf({message}: OnceEffect): number {
+	return message.type === OnceMessageType.Sync ? message.claims.reduce((sum, {answer}) => sum + (answer?.body.length ?? 0), 0) : 0;
+}
+
 function toEnvelope(effects: readonly OnceEffect[]): wire.IOnceEnvelope {
 	const {from, to} = effects[0]!;
 	return {
--- a/packages/node/src/control-server.ts
+++ b/packages/node/src/control-server.ts
@@ -11,6 +11,9 @@
 import {controlService, type wire} from '@laburnumspool/protocol/control';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 
+/** Longest message: all claims of one range, whose answers may take all the memory that a node has for them. */
+const messageBytes = 64 * 1024 * 1024;
+
 type Unary<Request, Reply> = (call: ServerUnaryCall<Request, Reply>, callback: sendUnaryData<Reply>) => void;
 
 /** Answers one call; an error of the closed list tells the other side what was wrong with its message. */
@@ -34,7 +37,7 @@
  */
 export class ControlServer {
 	readonly #core: CoreTask;
-	readonly #server = new Server();
+	readonly #server = new Server({'grpc.max_receive_message_length': messageBytes});
 
 	constructor(core: CoreTask) {
 		this.#core = core;
--- /dev/null
+++ b/packages/node/src/tests/control.test.ts
@@ -0,0 +1,63 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	ClaimState, Liveness, NodeEffectType, OnceMessageType, UpstreamState, type Claim, type Member, type OnceMessage,
+} from '@laburnumspool/core';
+import {findFreePorts} from '@laburnumspool/standin-loopback';
+import {test} from 'tap';
+import {ControlTask} from '../control-client.js';
+import {ControlServer} from '../control-server.js';
+import type {CoreMessage, CoreTask, EffectHandlers} from '../core-task.js';
+
+const testMilliseconds = 10_000;
+const arrived = 'arrived';
+
+function createClaim(number: number, bytes: number): Claim {
+	return {
+		key: `key-${number}`, id: {epoch: 1, sequence: number}, digest: 'd', state: ClaimState.Finished, answer: {status: 200, headers: [], body: Buffer.alloc(bytes)}, changedAt: 0,
+	};
+}
+
+test('all claims reach a new backup, of many ranges in one turn and of one range, however large their answers are together', async t => {
+	t.setTimeout(testMilliseconds);
+	const [port] = await findFreePorts(1);
+	const to: Member = {
+		name: 'q', incarnation: 1, version: 1, location: {region: 'r', failureDomain: 'f'}, host: '127.0.0.1', callersPort: 1, peersPort: 1, controlPort: port!, service: 's', state: UpstreamState.Ready, slots: 1, liveness: Liveness.Alive,
+	};
+	const posts: CoreMessage[] = [];
+	const told = new EventTarget();
+	const server = new ControlServer({
+		core: {own: to},
+		post(message: CoreMessage) {
+			posts.push(message);
+			return told.dispatchEvent(new Event(arrived));
+		},
+	} as unknown as CoreTask);
+	await server.listen(port!, '127.0.0.1');
+	let handlers: EffectHandlers = {};
+	const control = new ControlTask({
+		clock: () => 0, core: {
+			handle(given: EffectHandlers) {
+				handlers = given;
+			},
+		} as unknown as CoreTask,
+	});
+	t.teardown(() => {
+		control.close();
+		server.close();
+	});
+	const sizes = [...Array.from({length: 8}, () => 700_000), 6_000_000];
+	const messages: OnceMessage[] = sizes.map((bytes, range) => ({
+		type: OnceMessageType.Sync, service: 's', range, epoch: 1, claims: [1, 2].map(number => createClaim(number, bytes / 2)),
+	}));
+	messages.map(message => handlers[NodeEffectType.SendOnce]?.({
+		type: NodeEffectType.SendOnce, to, from: {name: 'p', incarnation: 1}, message,
+	}));
+	while (posts.length < messages.length) {
+		await once(told, arrived);
+	}
+
+	const received = posts.map(post => (post as unknown as {message: {range: number; claims: readonly Claim[]}}).message);
+	t.same(received.map(({claims}) => claims.reduce((sum, claim) => sum + (claim.answer?.body.length ?? 0), 0)), received.map(({range}) => sizes[range]));
+	t.same(received.map(({range}) => range).toSorted((left, right) => left - right), messages.map(({range}) => range));
+});
