Say nothing of a key's earlier tries at a node without a manifest

Callers saw: 503, not-run, for the second try of a payment whose first try had run; a caller may then pay with a new key.

Cause: a node that has just started and has no manifest answered not-run to all, though only a key's primary can say that no earlier try has run.

The new test failed with not-run.

Change: with a key the outcome is unknown.

Without a key the answer stays not-run.

--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -155,7 +155,9 @@
 	callerRequested(caller: CallerRequest, now: number): NodeEffect[] {
 		const {current} = this.#manifest;
 		if (current === undefined) {
-			return [this.#answerCaller(caller.entryId, Outcome.NotRun, {kind: ErrorKind.NotReady, detail: 'The node has no manifest yet'})];
+			// An earlier try of the key may have run elsewhere; only the key's primary can say that none has.
+			const outcome = caller.key === undefined ? Outcome.NotRun : Outcome.Unknown;
+			return [this.#answerCaller(caller.entryId, outcome, {kind: ErrorKind.NotReady, detail: 'The node has no manifest yet'})];
 		}
 
 		return this.#manifest.hold(caller, now) ? [] : this.#openCall(caller, current, now);
--- /dev/null
+++ b/packages/core/src/tests/node-core.test.ts
@@ -0,0 +1,26 @@
+import {Buffer} from 'node:buffer';
+import {test} from 'tap';
+import {
+	ErrorKind, NodeCore, NodeEffectType, Outcome, type NodeEffect,
+} from '../index.js';
+import {createMember} from './fixtures.js';
+
+test('a node without a manifest does not say of a key that it has not run: an earlier try may have, elsewhere', async t => {
+	const node = new NodeCore({
+		own: createMember('p'),
+		wallClock: () => 0,
+		random: () => 0.5,
+		newActionId: () => '0'.repeat(32),
+		membershipTimes: {probeIntervalMilliseconds: 1000, suspicionMilliseconds: 3000, exchangeIntervalMilliseconds: 10_000},
+		claimBounds: {maximumClaims: 10, maximumAnswerBytes: 1000},
+		withoutStoreMilliseconds: 1000,
+		clockErrorMilliseconds: 0,
+	});
+	const ask = (key: string | undefined): NodeEffect[] => node.callerRequested({
+		entryId: 1, service: 's', request: {
+			method: 'POST', target: '/', headers: [], body: Buffer.alloc(0), digest: '',
+		}, key, timeoutMilliseconds: undefined, traceparent: undefined, tracestate: undefined,
+	}, 0);
+	t.match(ask(undefined), [{type: NodeEffectType.AnswerCaller, answer: {outcome: Outcome.NotRun, error: {kind: ErrorKind.NotReady}}}]);
+	t.match(ask('key'), [{type: NodeEffectType.AnswerCaller, answer: {outcome: Outcome.Unknown, error: {kind: ErrorKind.NotReady}}}]);
+});
