Count a leaving upstream's time anew after its node's own trouble

Cause: the soak took work seconds after an announcement as a fault also where the node had been frozen since and could not know.

Change: the time counts from the end of the node's stop, kill or freeze; else the check stays. Tests for both sides.

--- a/demo/src/soak-checks.ts
+++ b/demo/src/soak-checks.ts
@@ -24,7 +24,7 @@
 export type AcceptedVersion = {readonly version: number; readonly acceptedAt: number};
 
 /** An upstream that has announced that it leaves, and was watched from some seconds later on. */
-export type Departure = {readonly entry: string; readonly startsAfter: number};
+export type Departure = {readonly entry: string; readonly watchedFrom: number; readonly watchedTo: number; readonly startsAfter: number};
 
 /** What callers and upstreams have seen. */
 export type SoakRecord = {
@@ -54,6 +54,8 @@
 /** A process that ends takes its connections with it; its callers learn of that a little later. */
 const noticeMilliseconds = 300;
 const adoptionMilliseconds = 2500;
+/** Time after which nothing new may reach an upstream that has said that it leaves. */
+export const drainMilliseconds = 2500;
 /** Longest pause of a node between two questions to a store that did not answer. */
 const storePauseMilliseconds = 5000;
 const memoryMegabytes = 350;
@@ -94,7 +96,7 @@
 	[Check.InForce, findFallbacks],
 	[Check.Importance, findUnjustRefusals],
 	[Check.PlannedStop, ({troubles}) => troubles.filter(({type, code}) => type === DisruptionType.Stop && code !== 0).map(({entry, code}) => `the planned stop of ${entry} ended with ${code}`)],
-	[Check.Departure, ({departures}) => departures.filter(({startsAfter}) => startsAfter > 0).map(({entry, startsAfter}) => `the leaving upstream of ${entry} got ${startsAfter} requests seconds after it had said so`)],
+	[Check.Departure, findLateStarts],
 	[Check.Memory, ({memory}) => memory.filter(({megabytes}) => !(megabytes < memoryMegabytes)).map(({entry, megabytes}) => `the node of ${entry} took ${megabytes} MB`)],
 ];
 
@@ -202,6 +204,12 @@
 	return isHarmed ? [`${id} at ${entry} was harmed by a planned stop: ${status}, ${outcome}, ${body.slice(0, 300)}`] : [];
 }
 
+/** The time after which nothing new may come counts anew from the end of the node's own trouble. */
+function findLateStarts({departures, troubles}: SoakRecord): string[] {
+	const isInTouch = ({entry, watchedFrom, watchedTo}: Departure): boolean => !troubles.some(trouble => trouble.entry === entry && trouble.startedAt <= watchedTo && trouble.readyAt > watchedFrom - drainMilliseconds);
+	return departures.filter(departure => departure.startsAfter > 0 && isInTouch(departure)).map(({entry, startsAfter}) => `the leaving upstream of ${entry} got ${startsAfter} requests seconds after it had said so`);
+}
+
 /** What payments ask of deliveries is part of their action, whose retries are bounded as a whole. */
 function findInnerRepeats({results, runs, retriesPerAction}: SoakRecord): string[] {
 	const payments = new Set(results.filter(({kind}) => kind.isKeyed).map(({id}) => id));
--- a/demo/src/soak-disruptions.ts
+++ b/demo/src/soak-disruptions.ts
@@ -10,7 +10,9 @@
 import {UpstreamFault} from '@laburnumspool/standin-upstream';
 import {request} from 'undici';
 import {runToEnd, stopProcess} from './processes.js';
-import type {AcceptedVersion, SoakRecord, Trouble} from './soak-checks.js';
+import {
+	drainMilliseconds, type AcceptedVersion, type Departure, type SoakRecord, type Trouble,
+} from './soak-checks.js';
 import {services, writeManifest} from './soak-kinds.js';
 import {DisruptionType, type Disruption} from './soak-plan.js';
 import {startNode, type Instance, type System} from './system.js';
@@ -20,8 +22,7 @@
 const slowFactor = 15;
 const storeDelayMilliseconds = 400;
 const lostConfirmations = 2;
-/** Time after which nothing new may reach an upstream that has said that it leaves, and for which it is watched then. */
-const drainMilliseconds = 2500;
+/** Time for which an upstream that leaves is watched. */
 const watchedMilliseconds = 1500;
 const kilobytesPerMegabyte = 1024;
 const shipUnknownCode = 4;
@@ -39,7 +40,7 @@
 	readonly troubles: Trouble[] = [];
 	readonly versions: AcceptedVersion[] = [{version: 1, acceptedAt: 0}];
 	readonly storeOutages: Array<{startedAt: number; endedAt: number}> = [];
-	readonly departures: Array<{entry: string; startsAfter: number}> = [];
+	readonly departures: Departure[] = [];
 	readonly memory: Array<{entry: string; megabytes: number}> = [];
 	/** What was broken by the operators' command. */
 	readonly brokenShipments: string[] = [];
@@ -161,12 +162,15 @@
 		this.#draining.add(instance);
 		await this.#system.setBehaviourOf(instance, {state: 'draining'});
 		await delay(drainMilliseconds);
+		const watchedFrom = performance.now();
 		const {started: before} = await this.#system.readCounters(instance);
 		await delay(watchedMilliseconds / 2);
 		await this.#system.setBehaviourOf(instance, {state: 'withdrawn'});
 		await delay(watchedMilliseconds / 2);
 		const {started} = await this.#system.readCounters(instance);
-		this.departures.push({entry: instance.name, startsAfter: started - before});
+		this.departures.push({
+			entry: instance.name, watchedFrom, watchedTo: performance.now(), startsAfter: started - before,
+		});
 		await this.#system.setBehaviourOf(instance, {state: 'ready'});
 		this.#draining.delete(instance);
 	}
