Take all connections that wait before a planned stop ends listening

Cause: the event loop takes one connection a turn, and two turns were given.

The test, now with 20 connections, failed with ECONNRESET.

Change: turns are given until one takes no connection, for 200 ms at most.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -27,6 +27,8 @@
 
 /** What stands around each header: colon, space and line end. */
 const bytesAroundHeader = 4;
+/** Longest time for which a stopping node takes connections that wait for it. */
+const lastLookMilliseconds = 200;
 const answerHeaders: ReadonlySet<string> = new Set([HeaderName.Outcome, HeaderName.Attempts]);
 
 export type CallersServerDefinition = {
@@ -59,6 +61,7 @@
 	#headerBytes = standardHeaderBytes;
 	#lastEntryId = 0;
 	#isStopping = false;
+	#takenConnections = 0;
 
 	constructor(definition: CallersServerDefinition) {
 		this.#definition = definition;
@@ -75,6 +78,9 @@
 		}, (request, response) => {
 			this.#handle(request, response);
 		});
+		this.#server.on('connection', () => {
+			this.#takenConnections += 1;
+		});
 		this.#server.on('clientError', sendClientError);
 		definition.core.handle({
 			[NodeEffectType.AnswerCaller]: ({entryId, answer}) => {
@@ -110,12 +116,18 @@
 
 	/**
 	 * Takes no new connections; open requests are finished, and their connections closed after the answer. What has
-	 * arrived by now is read first: one turn of the event loop takes connections, the next one reads their requests.
+	 * arrived by now is read first: one turn of the event loop takes one connection, the next one reads its request.
 	 */
 	async stopListening(): Promise<void> {
 		this.#isStopping = true;
-		await nextTurn();
-		await nextTurn();
+		const until = performance.now() + lastLookMilliseconds;
+		let taken: number;
+		do {
+			taken = this.#takenConnections;
+			await nextTurn(); // eslint-disable-line no-await-in-loop
+			await nextTurn(); // eslint-disable-line no-await-in-loop
+		} while (taken !== this.#takenConnections && performance.now() < until);
+
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -151,15 +151,19 @@
 	await untilRequested(told, messages, 1);
 	answerNewest();
 	await once(kept, 'data');
+	kept.pause();
 	told.addEventListener(CoreMessageType.CallerRequested, () => {
 		queueMicrotask(answerNewest);
 	});
-	const fresh = open();
-	fresh.write(ask('fresh'));
+	const fresh = Array.from({length: 20}, (_, index) => {
+		const socket = open();
+		socket.write(ask(`fresh${index}`));
+		return socket;
+	});
 	kept.write(ask('later'));
 	await server.stopListening();
-	const texts = await Promise.all([kept, fresh].map(async socket => readUntil(socket, ';')));
-	t.same(texts.map(text => /body of \w+;/u.exec(text)?.[0]), ['body of later;', 'body of fresh;']);
+	const texts = await Promise.all([kept, ...fresh].map(async socket => readUntil(socket, ';')));
+	t.same(texts.map(text => /body of \w+;/u.exec(text)?.[0]), ['body of later;', ...fresh.map((_, index) => `body of fresh${index};`)]);
 });
 
 test('a body comes whole and unchanged, whether its length is given or it is sent in chunks', async t => {
