Widen the gap that the test on tiny chunks looks for

The test asked for less than 32 MiB against 184 MiB on the old code; with the machine busy the new code took 12, 18 and 22 MiB in three runs, which is nearer to the bound than it needs to be. Twice as many chunks and twice the bound ask for the same share: 16 and 17 MiB on the new code, 368 MiB with the old way of keeping the parts, which still fails.

--- a/packages/node/src/tests/endless-answers.test.ts
+++ b/packages/node/src/tests/endless-answers.test.ts
@@ -127,17 +127,17 @@
 }
 
 test('a body in tiny chunks between long chunk extensions takes no more memory than its bytes', async t => {
-	const chunks = 3000;
+	const chunks = 6000;
 	let mostBytes = 0;
 	const {call} = await start(t, (_requestId, socket) => {
 		socket.write(chunkedHead);
 		sendOneByOne(socket, `1;x=${'y'.repeat(65_000)}\r\na\r\n`, chunks, () => {
 			mostBytes = Math.max(mostBytes, heldBytes());
 		});
-	}, {answerBytesLimit: 32 * mebibyte});
+	}, {answerBytesLimit: 64 * mebibyte});
 	const before = heldBytes();
 	t.equal(await call(1), `200 ${'a'.repeat(chunks)}`);
-	t.ok(mostBytes - before < 32 * mebibyte, `${Math.round((mostBytes - before) / mebibyte)} MiB`);
+	t.ok(mostBytes - before < 64 * mebibyte, `${Math.round((mostBytes - before) / mebibyte)} MiB`);
 });
 
 const extras: Readonly<Record<string, string>> = {
