Let the level settle: one rise for a queue, and a slow fall

Callers saw browsing fail three services below its entry. The level of the deepest service swung between refusing no browse and refusing all of them, about every two seconds: a queue raised it in each window of 50 ms until the queue was served, by what came in time in place of what came, and afterwards it fell by up to 128 a window. Requests admitted in one half of the swing failed in the other.

Late calls that came before the last rise no longer count, a rise cuts a twentieth of what arrived, a fifth of a window must be late, and the level falls by 4 a window at most.

--- a/packages/core/src/admission/guard.ts
+++ b/packages/core/src/admission/guard.ts
@@ -217,7 +217,7 @@
 		const slack = this.#latestStart(work, now) - now;
 		const isLate = this.#expectedWait(work) > slack * queuedWaitShare;
 		if (isLate && !this.#canPreemptFor(work)) {
-			this.#level.recordOutcome(false);
+			this.#level.recordOutcome(false, work.arrivedAt);
 			return true;
 		}
 
@@ -275,8 +275,9 @@
 		const isTooLate = (work: Work): boolean => now >= work.deadline
 			|| (this.#mechanisms.doomedCheck && this.#running.countOf(work.kind) > 0 && now > this.#latestStart(work, now));
 		const expired = this.#queue.removeAll(work => isTooLate(work));
-		expired.map(() => {
-			this.#level.recordOutcome(false);
+		expired.map(work => {
+			this.#level.recordOutcome(false, work.arrivedAt);
+			return work;
 		});
 		return this.#toRefusals(expired, ErrorKind.InsufficientTime);
 	}
@@ -323,6 +324,6 @@
 
 	#recordWait(work: Work, now: number): void {
 		const slack = this.#latestStart(work, now) - work.arrivedAt;
-		this.#level.recordOutcome(now - work.arrivedAt <= slack * promptWaitShare);
+		this.#level.recordOutcome(now - work.arrivedAt <= slack * promptWaitShare, work.arrivedAt);
 	}
 }
--- a/packages/core/src/admission/overload-level.ts
+++ b/packages/core/src/admission/overload-level.ts
@@ -12,20 +12,24 @@
 } from '../importance.js';
 
 const windowMilliseconds = 50;
-const overloadedShare = 0.05;
-const admittedShareKept = 0.95;
+const overloadedShare = 0.2;
+const arrivedShareKept = 0.95;
 const smallestStep = 2;
+
+/** Callers far above learn of a level a good part of a second later, so it must not fall faster than they can follow. */
+const largestStep = 4;
 const cohortsPerBucket = 4;
 const bucketCount = highestPriority / cohortsPerBucket;
 const criticalPriority = priorityOf(Importance.Critical, 0);
 
 /**
- * A moving threshold over priorities. It never rises above the least priority of critical work.
+ * A moving threshold over priorities. It never rises above the least priority of critical work. A queue that has made it
+ * rise does not make it rise again while the calls of that queue are served.
  *
  * @example
  * const level = new OverloadLevel();
  * level.recordArrival(priority);
- * level.recordOutcome(false); // refused for lack of capacity
+ * level.recordOutcome(false, arrivedAt); // refused for lack of capacity
  * level.advance(now);
  * level.value; // calls with a lower priority are refused
  */
@@ -35,6 +39,7 @@
 	#windowStart = 0;
 	#admitted = 0;
 	#late = 0;
+	#raisedAt = -Infinity;
 	#arrivals = Array.from({length: bucketCount}, () => 0);
 
 	get value(): number {
@@ -49,7 +54,11 @@
 	/**
 	 * @param inTime - whether the call got its slot early enough, rather than late or never
 	 */
-	recordOutcome(inTime: boolean): void {
+	recordOutcome(inTime: boolean, arrivedAt: number): void {
+		if (!inTime && arrivedAt < this.#raisedAt) {
+			return;
+		}
+
 		this.#admitted += inTime ? 1 : 0;
 		this.#late += inTime ? 0 : 1;
 	}
@@ -64,6 +73,7 @@
 		const isOverloaded = this.#late > 1 && this.#late >= total * overloadedShare;
 		if (isOverloaded) {
 			this.#rise();
+			this.#raisedAt = now;
 		} else {
 			this.#fall();
 		}
@@ -76,7 +86,7 @@
 
 	#rise(): void {
 		this.#step = smallestStep;
-		const wanted = Math.max(1, this.#admitted * admittedShareKept);
+		const wanted = Math.max(1, (this.#admitted + this.#late) * arrivedShareKept);
 		let kept = 0;
 		const lowestKept = this.#arrivals.findLastIndex(count => {
 			kept += count;
@@ -89,6 +99,6 @@
 
 	#fall(): void {
 		this.#value = Math.max(0, this.#value - this.#step);
-		this.#step = Math.min(cohortCount, this.#step * 2);
+		this.#step = Math.min(largestStep, this.#step * 2);
 	}
 }
