Count a wait that is longer than the kind takes as late

Callers saw browsing end in an upstream's 500: a lookup of 30 ms may wait 160 ms and still counted as prompt, since its own deadline leaves it 700 ms. Four lookups follow one another below each browse, eight below each order, so the calls above ran out of time while the deepest service called itself in order. Logged: order reads refused at orders with 324 ms left in the middle (189 of 191 never waited there), 41 calls waiting for 28 slots at deliveries, level 0.

A wait is prompt up to a quarter of the slack and no longer than the kind takes.

The test fails on the code before: the level is 0.

--- a/packages/core/src/admission/guard.ts
+++ b/packages/core/src/admission/guard.ts
@@ -322,8 +322,11 @@
 		return oldest === undefined ? undefined : this.#queue.remove(oldest.callId);
 	}
 
+	/** A wait longer than the kind takes keeps no slot busier, and adds up over calls that follow one another. */
 	#recordWait(work: Work, now: number): void {
 		const slack = this.#latestStart(work, now) - work.arrivedAt;
-		this.#level.recordOutcome(now - work.arrivedAt <= slack * promptWaitShare, work.arrivedAt);
+		const usual = this.#times.expected(work.kind, now);
+		const promptWait = Math.min(slack * promptWaitShare, usual > 0 ? usual : Infinity);
+		this.#level.recordOutcome(now - work.arrivedAt <= promptWait, work.arrivedAt);
 	}
 }
--- a/packages/core/src/tests/guard.test.ts
+++ b/packages/core/src/tests/guard.test.ts
@@ -157,3 +157,13 @@
 	saturate(guard, inFlight => 10 * (Math.max(1, inFlight / 10) ** 2), 4000);
 	t.ok(guard.limit.value < 30, `the limit is ${guard.limit.value}`);
 });
+
+test('waits longer than the kind takes raise the level, however much time the calls have left', async t => {
+	const guard = warmGuard(1);
+	guard.advance(100);
+	const calls = Array.from({length: 12}, () => work(Importance.Normal, {kind: 'warm', arrivedAt: 100, deadline: 10_000}));
+	calls.map(call => guard.arrive(call, 100));
+	calls.slice(0, 8).map((call, index) => guard.finish(call.callId, DispatchEnd.Answered, 0, 110 + (index * 10)));
+	guard.advance(200);
+	t.ok(guard.load.level > 0, `the level is ${guard.load.level}`);
+});
