Refuse at the entry by the mean of what the peers say is short below

Callers saw requests admitted at the entry though the services below had no room: each peer tells the level below as of its last answer, and the entry believed the least of them, so one old word was enough to admit. It takes their mean now.

The virtual upstream can now make its calls in turn.

--- a/benchmarks/src/virtual-node.ts
+++ b/benchmarks/src/virtual-node.ts
@@ -8,10 +8,16 @@
 } from '@laburnumspool/core';
 
 /** A call that an upstream makes for another. */
-export type VirtualInnerCall = {readonly service: string; readonly method: string; readonly target: string};
+export type VirtualInnerCall = {readonly service: string; readonly host?: string; readonly method: string; readonly target: string};
 
 /** How a virtual upstream works on requests whose path begins with the prefix. */
-export type VirtualBehaviour = {readonly prefix: string; readonly milliseconds: number; readonly calls?: readonly VirtualInnerCall[]};
+export type VirtualBehaviour = {
+	readonly prefix: string;
+	readonly milliseconds: number;
+	readonly calls?: readonly VirtualInnerCall[];
+	/** Whether each call waits for the one before, and is left out when that failed. */
+	readonly isInTurn?: boolean;
+};
 
 export type VirtualService = {
 	readonly service: string;
--- a/benchmarks/src/virtual-system.ts
+++ b/benchmarks/src/virtual-system.ts
@@ -315,7 +315,8 @@
 				return;
 			}
 
-			this.#callInner(node, behaviour?.calls ?? [], {traceparent, tracestate}, isWhole => {
+			const callInner = behaviour?.isInTurn === true ? this.#callInTurn.bind(this) : this.#callInner.bind(this);
+			callInner(node, behaviour?.calls ?? [], {traceparent, tracestate}, isWhole => {
 				if (!state.isCancelled) {
 					this.#end(node, callId, () => node.core.upstreamAnswered(callId, {status: isWhole ? 200 : 502, headers: [], body: new TextEncoder().encode(callId)}, this.#now), 0);
 				}
@@ -339,6 +340,22 @@
 		}));
 	}
 
+	#callInTurn(node: VirtualNode, calls: readonly VirtualInnerCall[], headers: {traceparent: string; tracestate: string}, done: (isWhole: boolean) => void): void {
+		const [next, ...later] = calls;
+		if (next === undefined) {
+			done(true);
+			return;
+		}
+
+		this.request(node.name, {...next, ...headers}, answer => {
+			if (answer.answer?.status === 200) {
+				this.#callInTurn(node, later, headers, done);
+			} else {
+				done(false);
+			}
+		});
+	}
+
 	#cancelDispatch(node: VirtualNode, callId: string): void {
 		const state = node.running.get(callId);
 		if (state !== undefined && !state.isCancelled) {
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -104,12 +104,13 @@
 
 	/**
 	 * Level below which the candidates refuse the kind, as far as it is known: an entry need not ask. One candidate's
-	 * want of room says nothing of the others, since it may be the slow one of many; what is short below is short for all.
+	 * want of room says nothing of the others, since it may be the slow one of many; what is short below is short for all. Each
+	 * candidate knows of it as of another moment, so the mean of what they say is nearest to what is so now.
 	 */
 	lowestLevel(service: string, kind: string, now: number): number {
 		const candidates = this.candidates(service);
 		const levels = candidates.flatMap(({member}) => this.loads.level(member.name, kind, now) ?? []);
-		const below = levels.length === 0 ? 0 : Math.min(...levels.map(level => level.below));
+		const below = levels.length === 0 ? 0 : Math.round(levels.reduce((sum, level) => sum + level.below, 0) / levels.length);
 		const isOwnKnown = levels.length >= Math.min(fewestLevels, candidates.length) && levels.length > 0;
 		return Math.max(below, isOwnKnown ? Math.min(...levels.map(level => level.own)) : 0);
 	}
--- a/packages/core/src/tests/routing.test.ts
+++ b/packages/core/src/tests/routing.test.ts
@@ -53,3 +53,12 @@
 	t.equal(router.lowestLevel('deep', 'fetch', 1010), 240);
 	t.equal(router.route(request, 1010).type, RouteType.Shed);
 });
+
+test('want of room below is the mean of what the peers say, not the least that one of them still believes', async t => {
+	const router = createRouter([member('near', 'a'), member('other', 'b'), member('stale', 'b')]);
+	answer(router, 'near', serving({levelBelow: 240}), 1000);
+	answer(router, 'other', serving({levelBelow: 240}), 1000);
+	answer(router, 'stale', serving({levelBelow: 150}), 1000);
+	t.equal(router.lowestLevel('deep', 'fetch', 1010), 210);
+	t.equal(router.route(request, 1010).type, RouteType.Shed);
+});
