Raise the level when a tenth of a window is late

With a fifth, the level rose too late: bookings, which are more important than browsing, waited behind it at the deepest service.

--- a/packages/core/src/admission/overload-level.ts
+++ b/packages/core/src/admission/overload-level.ts
@@ -12,7 +12,7 @@
 } from '../importance.js';
 
 const windowMilliseconds = 50;
-const overloadedShare = 0.2;
+const overloadedShare = 0.1;
 const arrivedShareKept = 0.95;
 const smallestStep = 2;
 
