--- a/packages/core/src/admission/guard.ts
+++ b/packages/core/src/admission/guard.ts
@@ -217,7 +217,7 @@
 		const slack = this.#latestStart(work, now) - now;
 		const isLate = this.#expectedWait(work) > slack * queuedWaitShare;
 		if (isLate && !this.#canPreemptFor(work)) {
-			this.#level.recordOutcome(false);
+			this.#level.recordOutcome(false, work.arrivedAt);
 			return true;
 		}
 
@@ -275,8 +275,9 @@
 		const isTooLate = (work: Work): boolean => now >= work.deadline
 			|| (this.#mechanisms.doomedCheck && this.#running.countOf(work.kind) > 0 && now > this.#latestStart(work, now));
 		const expired = this.#queue.removeAll(work => isTooLate(work));
-		expired.map(() => {
-			this.#level.recordOutcome(false);
+		expired.map(work => {
+			this.#level.recordOutcome(false, work.arrivedAt);
+			return work;
 		});
 		return this.#toRefusals(expired, ErrorKind.InsufficientTime);
 	}
@@ -321,8 +322,11 @@
 		return oldest === undefined ? undefined : this.#queue.remove(oldest.callId);
 	}
 
+	/** A wait longer than the kind takes keeps no slot busier, and adds up over calls that follow one another. */
 	#recordWait(work: Work, now: number): void {
 		const slack = this.#latestStart(work, now) - work.arrivedAt;
-		this.#level.recordOutcome(now - work.arrivedAt <= slack * promptWaitShare);
+		const usual = this.#times.expected(work.kind, now);
+		const promptWait = Math.min(slack * promptWaitShare, usual > 0 ? usual : Infinity);
+		this.#level.recordOutcome(now - work.arrivedAt <= promptWait, work.arrivedAt);
 	}
 }
