--- a/packages/node/bundle/undici.js
+++ b/packages/node/bundle/undici.js
@@ -6,3 +6,4 @@
 
 export {default as Agent} from 'undici/lib/dispatcher/agent.js';
 export {default as Pool} from 'undici/lib/dispatcher/pool.js';
+export {default as buildConnector} from 'undici/lib/core/connect.js';
