Tell of the limit that is in force

What operators saw: lines and a gauge of a limit that falls to a fifth of the slots, on deployments whose settings leave the adaptive limit out.

Cause: events, metrics and the cause of a refusal took the adaptive limit's own value, in force or not.

Change: all of them take the number that admission uses. The new test fails on the code before: `0 to 10` in place of `0 to 100`.

--- a/packages/core/src/admission/guard.ts
+++ b/packages/core/src/admission/guard.ts
@@ -74,7 +74,7 @@
 	}
 
 	get load(): GuardLoad {
-		return {headroom: this.#capacity - this.#running.size - this.#queue.length, level: this.#level.value};
+		return {headroom: this.capacity - this.#running.size - this.#queue.length, level: this.#level.value};
 	}
 
 	get inFlight(): number {
@@ -90,7 +90,8 @@
 		return this.#running.size === 0 && this.#queue.length === 0;
 	}
 
-	get #capacity(): number {
+	/** Calls that may run at once: the adaptive limit where it is in force, else all slots. */
+	get capacity(): number {
 		return this.#mechanisms.adaptiveLimit ? this.limit.value : this.limit.slots;
 	}
 
@@ -188,7 +189,7 @@
 	}
 
 	get #queueBound(): number {
-		return queueBase + (queuePerSlot * this.#capacity);
+		return queueBase + (queuePerSlot * this.capacity);
 	}
 
 	/** A kind with nothing running is tried whatever the estimate says, so that an estimate cannot shut it out for good. */
@@ -205,12 +206,12 @@
 	}
 
 	#hasGuaranteedRoom(work: Work): boolean {
-		return work.guaranteedShare > 0 && this.#running.countOf(work.kind) < Math.ceil(work.guaranteedShare * this.#capacity);
+		return work.guaranteedShare > 0 && this.#running.countOf(work.kind) < Math.ceil(work.guaranteedShare * this.capacity);
 	}
 
 	/** Work that is expected to wait for long is refused at once, unless it can make room or has nowhere else to go. */
 	#wouldWaitTooLong(work: Work, now: number): boolean {
-		if (!this.#mechanisms.waitBound || work.lastResort || this.#running.size < this.#capacity || this.#hasGuaranteedRoom(work)) {
+		if (!this.#mechanisms.waitBound || work.lastResort || this.#running.size < this.capacity || this.#hasGuaranteedRoom(work)) {
 			return false;
 		}
 
@@ -225,7 +226,7 @@
 	}
 
 	#expectedWait(work: Work): number {
-		return (this.#queue.countAhead(work) + 1) * this.#times.overallMean / this.#capacity;
+		return (this.#queue.countAhead(work) + 1) * this.#times.overallMean / this.capacity;
 	}
 
 	#canDisplace(work: Work): boolean {
@@ -293,7 +294,7 @@
 
 	#dispatchWaiting(now: number): GuardEffect[] {
 		const effects: GuardEffect[] = [];
-		while (this.#running.size < this.#capacity) {
+		while (this.#running.size < this.capacity) {
 			const work = this.#takeNext();
 			if (work === undefined) {
 				break;
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -223,8 +223,8 @@
 	}
 
 	#refusalCause({arrivedAt, deadline, priority}: Work, now: number): string {
-		const {inFlight, waiting, limit, load: {level}} = this.#parts.guard;
-		return `after ${Math.round(now - arrivedAt)} ms with ${Math.round(deadline - now)} ms left: ${inFlight} of ${limit.value} run, ${waiting} wait, priority ${priority}, level ${level}`;
+		const {inFlight, waiting, capacity, load: {level}} = this.#parts.guard;
+		return `after ${Math.round(now - arrivedAt)} ms with ${Math.round(deadline - now)} ms left: ${inFlight} of ${capacity} run, ${waiting} wait, priority ${priority}, level ${level}`;
 	}
 
 	/** Calls that the manifest states and calls that the upstream was seen to make for the kind. */
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -361,7 +361,7 @@
 	}
 
 	#limitEvent(): NodeEffect[] {
-		const limit = this.#guard.limit.value;
+		const limit = this.#guard.capacity;
 		if (limit === this.#lastLimit) {
 			return [];
 		}
--- a/packages/core/src/tests/node-core.test.ts
+++ b/packages/core/src/tests/node-core.test.ts
@@ -1,21 +1,23 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'tap';
 import {
-	ErrorKind, NodeCore, NodeEffectType, Outcome, type NodeEffect,
+	allGuardMechanisms, AnnouncedState, ErrorKind, EventType, NodeCore, NodeEffectType, Outcome, type NodeDefinition, type NodeEffect,
 } from '../index.js';
 import {createMember} from './fixtures.js';
 
+const definition: NodeDefinition = {
+	own: createMember('p'),
+	wallClock: () => 0,
+	random: () => 0.5,
+	newActionId: () => '0'.repeat(32),
+	membershipTimes: {probeIntervalMilliseconds: 1000, suspicionMilliseconds: 3000, exchangeIntervalMilliseconds: 10_000},
+	claimBounds: {maximumClaims: 10, maximumAnswerBytes: 1000},
+	withoutStoreMilliseconds: 1000,
+	clockErrorMilliseconds: 0,
+};
+
 test('a node without a manifest does not say of a key that it has not run: an earlier try may have, elsewhere', async t => {
-	const node = new NodeCore({
-		own: createMember('p'),
-		wallClock: () => 0,
-		random: () => 0.5,
-		newActionId: () => '0'.repeat(32),
-		membershipTimes: {probeIntervalMilliseconds: 1000, suspicionMilliseconds: 3000, exchangeIntervalMilliseconds: 10_000},
-		claimBounds: {maximumClaims: 10, maximumAnswerBytes: 1000},
-		withoutStoreMilliseconds: 1000,
-		clockErrorMilliseconds: 0,
-	});
+	const node = new NodeCore(definition);
 	const ask = (key: string | undefined): NodeEffect[] => node.callerRequested({
 		entryId: 1, service: 's', request: {
 			method: 'POST', target: '/', headers: [], body: Buffer.alloc(0), digest: '',
@@ -24,3 +26,12 @@
 	t.match(ask(undefined), [{type: NodeEffectType.AnswerCaller, answer: {outcome: Outcome.NotRun, error: {kind: ErrorKind.NotReady}}}]);
 	t.match(ask('key'), [{type: NodeEffectType.AnswerCaller, answer: {outcome: Outcome.Unknown, error: {kind: ErrorKind.NotReady}}}]);
 });
+
+test('a limit that is not in force is not told of as a change', async t => {
+	const node = new NodeCore({...definition, guardMechanisms: {...allGuardMechanisms, adaptiveLimit: false}});
+	node.announced({service: 's', slots: 100, state: AnnouncedState.Ready, load: undefined}, 0);
+	const changes = node.advance(100).filter(effect => effect.type === NodeEffectType.Event && effect.event.type === EventType.LimitChanged);
+	t.match(changes, [{event: {detail: '0 to 100'}}]);
+	node.announced({service: 's', slots: 100, state: AnnouncedState.Ready, load: {inFlight: 60, healthy: true}}, 150);
+	t.same(node.advance(200).filter(effect => effect.type === NodeEffectType.Event), []);
+});
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -98,7 +98,7 @@
 
 function gaugesOf(core: NodeCore): Readonly<Record<string, number>> {
 	return {
-		limit: core.guard.limit.value,
+		limit: core.guard.capacity,
 		in_flight: core.guard.inFlight,
 		waiting: core.guard.waiting,
 		level: core.guard.load.level,
