--- a/packages/core/src/tests/node-core.test.ts
+++ b/packages/core/src/tests/node-core.test.ts
@@ -29,9 +29,13 @@
 
 test('a limit that is not in force is not told of as a change', async t => {
 	const node = new NodeCore({...definition, guardMechanisms: {...allGuardMechanisms, adaptiveLimit: false}});
-	node.announced({service: 's', slots: 100, state: AnnouncedState.Ready, load: undefined}, 0);
+	node.announced({
+		service: 's', slots: 100, state: AnnouncedState.Ready, load: undefined,
+	}, 0);
 	const changes = node.advance(100).filter(effect => effect.type === NodeEffectType.Event && effect.event.type === EventType.LimitChanged);
 	t.match(changes, [{event: {detail: '0 to 100'}}]);
-	node.announced({service: 's', slots: 100, state: AnnouncedState.Ready, load: {inFlight: 60, healthy: true}}, 150);
+	node.announced({
+		service: 's', slots: 100, state: AnnouncedState.Ready, load: {inFlight: 60, healthy: true},
+	}, 150);
 	t.same(node.advance(200).filter(effect => effect.type === NodeEffectType.Event), []);
 });
