Split store and checks from the explorer of at-most-once work

Cause: the explorer had grown to 535 lines, with the store that it plays and the checks of what must hold inside it.

Change: the store with its leases and versions, the checks, and the planted mistakes have files of their own; the test only imports the mistakes from their new place. No behaviour changes.

--- a/benchmarks/src/explore-once.ts
+++ b/benchmarks/src/explore-once.ts
@@ -5,7 +5,8 @@
  */
 import process from 'node:process';
 import {cac} from 'cac';
-import {exploreOnce, PlantedMistake} from './once-explorer.js';
+import {exploreOnce} from './once-explorer.js';
+import {PlantedMistake} from './planted-mistakes.js';
 
 const cli = cac('explore-once');
 cli.option('--seed <seed>', 'First seed', {default: 1});
--- a/benchmarks/src/once-explorer.ts
+++ b/benchmarks/src/once-explorer.ts
@@ -5,10 +5,13 @@
  * @module
  */
 import {
-	holderKey, isSameHolder, Liveness, Once, OnceEffectType, OnceMessageType, OpenResultType, RoleChange, UpstreamState, WriteResultType,
-	type Holder, type Member, type OnceCall, type OnceEffect, type OnceMessage, type RangeRecord, type VersionedRecord,
+	isSameHolder, Liveness, Once, OnceEffectType, OnceMessageType, OpenResultType, RoleChange, UpstreamState, WriteResultType,
+	type Holder, type Member, type OnceCall, type OnceEffect, type OnceMessage, type RangeRecord,
 } from '@laburnumspool/core';
 import {seededRandom} from '@laburnumspool/load';
+import {ExploredStore} from './explored-store.js';
+import {OnceChecks} from './once-checks.js';
+import {PlantedMistake} from './planted-mistakes.js';
 
 const nodeCount = 4;
 const stepCount = 120;
@@ -16,26 +19,10 @@
 const calmMilliseconds = 250;
 const keyCount = 6;
 const withoutStoreMilliseconds = 1500;
-const leaseMilliseconds = 400;
 const callMilliseconds = 2000;
 const wallStart = 1_800_000_000_000;
 const clockErrorMilliseconds = 50;
 
-/** Mistakes planted to prove that the checks find them. */
-export enum PlantedMistake {
-	None = 'none',
-	/** A backup acknowledges also after it has begun to take over. */
-	AcknowledgesAfterFence = 'acknowledges-after-fence',
-	/** A primary dispatches before the acknowledgement. */
-	DispatchesBeforeAcknowledgement = 'dispatches-before-acknowledgement',
-	/** A restarted node keeps its role, though its memory is gone. */
-	RestartKeepsRole = 'restart-keeps-role',
-	/** A range without claims forgets that they were lost. */
-	ForgetsLoss = 'forgets-loss',
-	/** A primary takes back a claim that it dispatches. */
-	ReleasesDispatched = 'releases-dispatched',
-}
-
 /** What one schedule did, and what it broke. */
 export type Exploration = {
 	readonly seed: number;
@@ -79,22 +66,17 @@
 	readonly #nodes: ExploredNode[];
 	readonly #network: Envelope[] = [];
 	readonly #tasks: Task[] = [];
-	readonly #leases = new Map<string, number>();
-	readonly #dispatched = new Map<string, string[]>();
-	readonly #refusedCalls = new Set<string>();
-	readonly #callKeys = new Map<string, string>();
+	readonly #checks = new OnceChecks();
+	readonly #store: ExploredStore;
 	readonly #keys: string[];
-	readonly #history: VersionedRecord[] = [];
-	readonly #violations: string[] = [];
 	readonly #counts = new Map<RoleChange, number>();
-	#isStoreDown = false;
 	#now = 1000;
 	#callCount = 0;
-	#confirmedRefusals = 0;
 
 	constructor(seed: number, mistake: PlantedMistake) {
 		this.#seed = seed;
 		this.#mistake = mistake;
+		this.#store = new ExploredStore(mistake);
 		this.#random = seededRandom(seed);
 		this.#keys = Array.from({length: keyCount}, (_, index) => `key-${seed}-${index}`);
 		this.#nodes = Array.from({length: nodeCount}, (_, index) => this.#createNode(`n${index}`, index + 1));
@@ -110,33 +92,33 @@
 		this.#calmDown();
 		return {
 			seed: this.#seed,
-			violations: this.#violations,
-			dispatches: [...this.#dispatched.values()].reduce((sum, calls) => sum + calls.length, 0),
+			violations: this.#checks.violations,
+			dispatches: this.#checks.dispatchCount,
 			takeovers: this.#counts.get(RoleChange.TakenOver) ?? 0,
 			adoptions: this.#counts.get(RoleChange.AdoptedWithoutClaims) ?? 0,
 			handovers: this.#counts.get(RoleChange.HandedOver) ?? 0,
-			confirmedRefusals: this.#confirmedRefusals,
+			confirmedRefusals: this.#checks.confirmedRefusals,
 		};
 	}
 
 	/** Lets the first record come into being. */
 	#settle(): void {
-		for (let round = 0; round < 20 && this.#history.length === 0; round += 1) {
+		for (let round = 0; round < 20 && this.#store.history.length === 0; round += 1) {
 			this.#now += 60;
 			this.#nodes.map(node => this.#renew(node));
 			this.#advanceAll();
 			this.#runAllTasks();
 		}
 
-		this.#nodes.map(node => this.#carryOut(node, node.once.recordSeen(this.#history.at(-1), this.#now)));
+		this.#nodes.map(node => this.#carryOut(node, node.once.recordSeen(this.#store.newest, this.#now)));
 	}
 
 	/** After the faults, everything is delivered and tried once more: this is where late doubles show. */
 	#calmDown(): void {
-		this.#isStoreDown = false;
+		this.#store.isDown = false;
 		for (let round = 0; round < calmRounds; round += 1) {
 			this.#now += calmMilliseconds;
-			this.#expireLeases();
+			this.#store.expireLeases(this.#now);
 			this.#nodes.map(node => {
 				node.isPaused = false;
 				this.#refreshView(node, false);
@@ -170,7 +152,7 @@
 			}],
 			[14, () => {
 				this.#now += 10 + (this.#random() * 120);
-				this.#expireLeases();
+				this.#store.expireLeases(this.#now);
 				this.#advanceAll();
 			}],
 			[6, () => {
@@ -188,7 +170,7 @@
 				this.#restartOne();
 			}],
 			[1, () => {
-				this.#isStoreDown = !this.#isStoreDown;
+				this.#store.isDown = !this.#store.isDown;
 			}],
 			[1, () => {
 				this.#pick(this.#nodes, node => {
@@ -198,7 +180,7 @@
 			}],
 			[2, () => {
 				this.#now += withoutStoreMilliseconds * this.#random() * 1.5;
-				this.#expireLeases();
+				this.#store.expireLeases(this.#now);
 			}],
 		];
 		const total = actions.reduce((sum, [weight]) => sum + weight, 0);
@@ -241,25 +223,18 @@
 	}
 
 	#renew(node: ExploredNode): void {
-		if (this.#isStoreDown || node.isPaused || !node.isAlive) {
+		if (this.#store.isDown || node.isPaused || !node.isAlive) {
 			return;
 		}
 
-		this.#expireLeases();
-		const key = holderKey(node.holder);
-		if (!this.#leases.has(key) && node.hadLease) {
+		if (!this.#store.renew(node.holder, this.#now) && node.hadLease) {
 			node.once.leaseLapsed();
 		}
 
 		node.hadLease = true;
-		this.#leases.set(key, this.#now + leaseMilliseconds);
 		node.once.renewed(this.#now);
 	}
 
-	#expireLeases(): void {
-		[...this.#leases].filter(([, until]) => this.#now >= until).map(([key]) => this.#leases.delete(key));
-	}
-
 	#restartOne(): void {
 		this.#pick(this.#nodes, node => {
 			const keepsRole = this.#mistake === PlantedMistake.RestartKeepsRole;
@@ -267,7 +242,7 @@
 			const position = this.#nodes.indexOf(node);
 			this.#nodes[position] = fresh;
 			this.#refreshView(fresh, false);
-			this.#carryOut(fresh, fresh.once.recordSeen(this.#history.at(-1), this.#now));
+			this.#carryOut(fresh, fresh.once.recordSeen(this.#store.newest, this.#now));
 			node.isAlive = false;
 		});
 	}
@@ -284,14 +259,14 @@
 			const call: OnceCall = {
 				callId: `c${this.#callCount}`, key, digest: 'd', deadline: this.#now + callMilliseconds,
 			};
-			this.#callKeys.set(call.callId, key);
+			this.#checks.opened(call.callId, key);
 			const result = node.once.open(call, this.#now);
 			if (result.type === OpenResultType.Proceed) {
 				node.admitting.push(call);
 			}
 
 			if (result.type === OpenResultType.Refused && result.isNotRun) {
-				this.#refusedCalls.add(call.callId);
+				this.#checks.refused(call.callId, false);
 			}
 		});
 	}
@@ -334,7 +309,9 @@
 				this.#grant(node, callId);
 			},
 			[OnceEffectType.Refused]: ({callId, isNotRun, confirmed}) => {
-				this.#refuse(callId, isNotRun, confirmed);
+				if (isNotRun) {
+					this.#checks.refused(callId, confirmed);
+				}
 			},
 			[OnceEffectType.ReadRecord]: () => {
 				this.#tasks.push({
@@ -353,9 +330,9 @@
 			[OnceEffectType.ReadHolders]: ({holders}) => {
 				this.#tasks.push({
 					node, run: () => {
-						if (!this.#isStoreDown) {
-							this.#expireLeases();
-							node.once.holdersRead(holders, new Set(this.#leases.keys()), this.#now);
+						if (!this.#store.isDown) {
+							this.#store.expireLeases(this.#now);
+							node.once.holdersRead(holders, this.#store.leased, this.#now);
 						}
 					},
 				});
@@ -369,7 +346,7 @@
 
 	#send(node: ExploredNode, to: Holder, message: OnceMessage, call: OnceCall | undefined): void {
 		if (this.#mistake === PlantedMistake.DispatchesBeforeAcknowledgement && message.type === OnceMessageType.Claim && call !== undefined) {
-			this.#dispatch(call.callId, message.key);
+			this.#checks.dispatched(call.callId, message.key);
 		}
 
 		const isRefusal = message.type === OnceMessageType.Refused && message.knownEpoch === message.epoch;
@@ -384,14 +361,14 @@
 
 	/** The dispatch itself comes later: the process may be paused between the decision and the write to the socket. */
 	#grant(node: ExploredNode, callId: string): void {
-		const key = this.#callKeys.get(callId)!;
+		const key = this.#checks.keyOf(callId)!;
 		this.#tasks.push({
 			node, run: () => {
 				if (!this.#nodes.includes(node)) {
 					return;
 				}
 
-				this.#dispatch(callId, key);
+				this.#checks.dispatched(callId, key);
 				node.running.push({
 					callId, key, digest: 'd', deadline: this.#now + callMilliseconds,
 				});
@@ -399,54 +376,19 @@
 		});
 	}
 
-	#dispatch(callId: string, key: string): void {
-		const calls = this.#dispatched.get(key) ?? [];
-		if (calls.length > 0) {
-			this.#violations.push(`key ${key} was dispatched for ${calls.join(', ')} and for ${callId}`);
-		}
-
-		if (this.#refusedCalls.has(callId)) {
-			this.#violations.push(`call ${callId} was dispatched after it was reported not run`);
-		}
-
-		this.#dispatched.set(key, [...calls, callId]);
-	}
-
-	#refuse(callId: string, isNotRun: boolean, confirmed: boolean): void {
-		if (!isNotRun) {
-			return;
-		}
-
-		this.#refusedCalls.add(callId);
-		const key = this.#callKeys.get(callId);
-		if (!confirmed || key === undefined) {
-			return;
-		}
-
-		// A try that comes later may run while the refusal is on its way; an earlier one may not have run.
-		this.#confirmedRefusals += 1;
-		const hasEarlier = (this.#dispatched.get(key) ?? []).some(other => numberOf(other) < numberOf(callId));
-		if (hasEarlier) {
-			this.#violations.push(`call ${callId} was confirmed as not run though key ${key} had run`);
-		}
-	}
-
 	#read(node: ExploredNode): void {
-		if (this.#isStoreDown || this.#history.length === 0) {
-			if (!this.#isStoreDown) {
-				this.#carryOut(node, node.once.recordSeen(undefined, this.#now));
-			}
-
+		if (this.#store.isDown) {
 			return;
 		}
 
-		const isStale = this.#random() < 0.2;
-		const position = isStale ? Math.floor(this.#random() * this.#history.length) : this.#history.length - 1;
-		this.#carryOut(node, node.once.recordSeen(this.#history[position], this.#now));
+		const {history} = this.#store;
+		const isStale = history.length > 0 && this.#random() < 0.2;
+		const record = isStale ? history[Math.floor(this.#random() * history.length)] : this.#store.newest;
+		this.#carryOut(node, node.once.recordSeen(record, this.#now));
 	}
 
 	#write(node: ExploredNode, expectedVersion: number, record: RangeRecord): void {
-		if (this.#isStoreDown && this.#random() < 0.5) {
+		if (this.#store.isDown && this.#random() < 0.5) {
 			this.#carryOut(node, node.once.writeSettled({type: WriteResultType.Unknown}, this.#now));
 			return;
 		}
@@ -455,32 +397,20 @@
 			this.#carryOut(node, node.once.writeSettled({type: WriteResultType.Unknown}, this.#now));
 			this.#tasks.push({
 				node, run: () => {
-					this.#swap(expectedVersion, record);
+					this.#store.swap(expectedVersion, record);
 				},
 			});
 			return;
 		}
 
-		const version = this.#swap(expectedVersion, record);
+		const version = this.#store.swap(expectedVersion, record);
 		const result = version === undefined
-			? {type: WriteResultType.Conflict as const, current: this.#history.at(-1)}
+			? {type: WriteResultType.Conflict as const, current: this.#store.newest}
 			: {type: WriteResultType.Written as const, version};
 		const isLost = this.#random() < 0.15;
 		this.#carryOut(node, node.once.writeSettled(isLost ? {type: WriteResultType.Unknown} : result, this.#now));
 	}
 
-	#swap(expectedVersion: number, record: RangeRecord): number | undefined {
-		if ((this.#history.at(-1)?.version ?? 0) !== expectedVersion) {
-			return undefined;
-		}
-
-		const kept = this.#mistake === PlantedMistake.ForgetsLoss
-			? {...record, ranges: record.ranges.map(range => ({...range, claimsLostAt: 0}))}
-			: record;
-		this.#history.push({version: expectedVersion + 1, record: kept});
-		return expectedVersion + 1;
-	}
-
 	#deliverOne(): void {
 		if (this.#network.length === 0) {
 			return;
@@ -529,7 +459,3 @@
 		}
 	}
 }
-
-function numberOf(callId: string): number {
-	return Number(callId.slice(1));
-}
--- a/benchmarks/src/tests/once-exploration.test.ts
+++ b/benchmarks/src/tests/once-exploration.test.ts
@@ -1,5 +1,6 @@
 import {test} from 'tap';
-import {exploreOnce, PlantedMistake} from '../once-explorer.js';
+import {exploreOnce} from '../once-explorer.js';
+import {PlantedMistake} from '../planted-mistakes.js';
 
 const schedules = 60;
 
