Test answers that come before a long body was read

Cause: the fault matrix listed an upstream that answers before it has read a long body as not proved by a test of our own. If the client took such an exchange for over and sent other bytes where the rest of the body is due, the upstream would run a request that nobody sent.

Change: the test sends 8 MiB over one connection, answers after the first bytes, sends the next request, and compares what comes then with the rest of the body. The client of the upstream can be started in tests without the upstream of raw bytes. No product code changes: the test passes on the present code (4 assertions).

--- /dev/null
+++ b/packages/node/src/tests/early-answers.test.ts
@@ -0,0 +1,48 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer, type Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {test} from 'tap';
+import {silent} from './fixtures.js';
+import {startClient, summary, whole} from './raw-upstream.js';
+
+const bodyBytes = 8 * 1024 * 1024;
+
+test('an upstream that answers before it has read a long body gets the rest of that body, and then the next request', async t => {
+	const connections: Socket[] = [];
+	const server = createServer(socket => {
+		connections.push(socket);
+		socket.on('error', silent);
+		socket.once('data', () => {
+			socket.pause();
+			socket.write(whole('r1', 'early'));
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {core, dispatch} = startClient(t, (server.address() as {port: number}).port);
+	t.teardown(() => {
+		connections.map(socket => socket.destroy());
+		server.close();
+	});
+
+	const body = Buffer.alloc(bodyBytes, 'abcdefghij');
+	dispatch(1, {method: 'POST', body});
+	t.equal(summary(await core.next()), '200 early');
+	dispatch(2);
+
+	const socket = connections[0]!;
+	let first = Buffer.alloc(0);
+	socket.on('data', (chunk: Buffer) => {
+		first = Buffer.concat([first, chunk]);
+	});
+	socket.resume();
+	while (!first.includes('request-id: r2') && connections.length === 1) {
+		await nextTurn();
+	}
+
+	t.equal(connections.length, 1, 'both requests went over one connection');
+	const rest = first.indexOf('GET /x HTTP/1.1');
+	t.ok(first.subarray(0, rest).equals(body.subarray(bodyBytes - rest)), 'nothing but the rest of the body came before the next request');
+	socket.write(whole('r2', 'next'));
+	t.equal(summary(await core.next()), '200 next');
+});
--- a/packages/node/src/tests/raw-upstream.ts
+++ b/packages/node/src/tests/raw-upstream.ts
@@ -51,19 +51,54 @@
 	}
 }
 
-export type Upstream = {
+/** Bytes of an answer. */
+export const whole = (requestId: string, text: string): string => `HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
+
+/** What a test may say of a request. */
+type RequestParts = {readonly method?: string; readonly body?: Buffer};
+
+export type Client = {
 	readonly core: CoreStandIn;
+	readonly dispatch: (number: number, parts?: RequestParts) => void;
+};
+
+/** Starts a client of the upstream at the port. */
+export function startClient(t: Test, port: number, {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000} = {}): Client {
+	const core = new CoreStandIn();
+	const client = new UpstreamClient(core as unknown as CoreTask, headers, silentLog);
+	t.teardown(async () => client.close());
+	core.carryOut({
+		type: NodeEffectType.UpstreamAnnounced,
+		announcement: {
+			service: 's', slots: 1, address: `127.0.0.1:${port}`, state: AnnouncedState.Ready, instance: 'i-1', load: undefined,
+		},
+	});
+	return {
+		core, dispatch(number, {method = 'GET', body = Buffer.alloc(0)} = {}) {
+			core.carryOut({
+				type: NodeEffectType.Dispatch,
+				callId: `n.1.${number}`,
+				requestId: `r${number}`,
+				request: {
+					method, target: '/x', headers: [], body, digest: '',
+				},
+				traceparent: 'p',
+				tracestate: 's',
+				timeLeftMilliseconds,
+				answerBytesLimit,
+			});
+		},
+	};
+}
+
+export type Upstream = Client & {
 	/** Sends a call and resolves with what became of it. */
 	readonly call: (number: number) => Promise<string>;
-	readonly dispatch: (number: number) => void;
 	readonly connections: Socket[];
 };
 
-/** Bytes of an answer. */
-export const whole = (requestId: string, text: string): string => `HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
-
 /** Starts an upstream that answers each request with the bytes that the test gives for it. */
-export async function start(t: Test, answer: (requestId: string, socket: Socket) => void, {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000} = {}): Promise<Upstream> {
+export async function start(t: Test, answer: (requestId: string, socket: Socket) => void, bounds = {}): Promise<Upstream> {
 	const connections: Socket[] = [];
 	const server = createServer(socket => {
 		connections.push(socket);
@@ -73,34 +108,11 @@
 		});
 	}).listen(0, '127.0.0.1');
 	await once(server, 'listening');
-	const core = new CoreStandIn();
-	const client = new UpstreamClient(core as unknown as CoreTask, headers, silentLog);
-	t.teardown(async () => {
+	t.teardown(() => {
 		connections.map(socket => socket.destroy());
 		server.close();
-		await client.close();
 	});
-	core.carryOut({
-		type: NodeEffectType.UpstreamAnnounced,
-		announcement: {
-			service: 's', slots: 1, address: `127.0.0.1:${(server.address() as {port: number}).port}`, state: AnnouncedState.Ready, instance: 'i-1', load: undefined,
-		},
-	});
-	const dispatch = (number: number): void => {
-		core.carryOut({
-			type: NodeEffectType.Dispatch,
-			callId: `n.1.${number}`,
-			requestId: `r${number}`,
-			request: {
-				method: 'GET', target: '/x', headers: [], body: Buffer.alloc(0), digest: '',
-			},
-			traceparent: 'p',
-			tracestate: 's',
-			timeLeftMilliseconds,
-			answerBytesLimit,
-		});
-	};
-
+	const {core, dispatch} = startClient(t, (server.address() as {port: number}).port, bounds);
 	return {
 		core, connections, dispatch, async call(number) {
 			dispatch(number);
