Do not end the node when its upstream takes no connection

Cause: the connector of the client library gives its callback one argument when a connection fails; watched-connections.ts looked at the second one for null, found undefined, and described the address of a socket that is none. The error was thrown inside the socket's error event, where nobody catches it.

Change: the callback's error decides. The type of the library promises null there, so neither compiler nor linter could tell. Class of fault: a declared type taken for what a library does. No other use of the connector is in the project.

--- a/packages/node/src/watched-connections.ts
+++ b/packages/node/src/watched-connections.ts
@@ -32,7 +32,7 @@
 		this.connect = (options, callback) => {
 			connect(options, (...result) => {
 				// The library adds its own listeners in the callback, so these run first.
-				if (result[1] !== null) {
+				if (result[0] === null) {
 					keepAddress(result[1], options);
 					this.#watchEnd(result[1]);
 					this.#watchBytes(result[1]);
