--- a/packages/core/src/once/primary-role.ts
+++ b/packages/core/src/once/primary-role.ts
@@ -9,8 +9,9 @@
 import {
 	OpenResultType, Stage, type Attempt, type OnceCall, type OpenResult,
 } from './attempt.js';
+import {Attempts} from './attempts.js';
 import {
-	ClaimState, compareClaimIds, type Claim, type ClaimId, type ClaimMemory, type ClaimTable,
+	ClaimState, type Claim, type ClaimId, type ClaimMemory, type ClaimTable,
 } from './claim-table.js';
 import {
 	OnceEffectType, OnceMessageType, type OnceEffect, type OnceMessage,
@@ -46,7 +47,7 @@
  */
 export class PrimaryRole {
 	readonly #definition: PrimaryDefinition;
-	readonly #attempts = new Map<string, Attempt>();
+	readonly #attempts = new Attempts();
 	readonly #orphans = new Set<string>();
 	#epoch = 0;
 	#backup: Holder | null = null;
@@ -68,7 +69,7 @@
 
 	/** Whether a call is waiting whose claim the backup has not acknowledged. */
 	get hasPending(): boolean {
-		return [...this.#attempts.values()].some(attempt => attempt.stage === Stage.Claiming || attempt.stage === Stage.Releasing);
+		return this.#attempts.hasUnacknowledged;
 	}
 
 	/**
@@ -92,7 +93,7 @@
 	deactivate(epoch: number, holders: readonly Holder[]): OnceEffect[] {
 		this.#isActive = false;
 		const error = {kind: ErrorKind.StaleRange, detail: `Range ${this.#definition.range} of ${this.#definition.service} has another primary`};
-		return [...this.#attempts.values()]
+		return this.#attempts.all
 			.filter(attempt => attempt.stage !== Stage.Running && attempt.stage !== Stage.Waiting)
 			.flatMap(attempt => [
 				...holders.map(to => this.#message(to, attempt, OnceMessageType.Release, epoch)),
@@ -160,7 +161,7 @@
 			return [];
 		}
 
-		this.#attempts.delete(callId);
+		this.#attempts.close(attempt);
 		const {call, id} = attempt;
 		if (answer === undefined) {
 			this.#orphans.add(call.key);
@@ -174,19 +175,19 @@
 	/** The primary before this one never dispatched the key: calls that wait for its end can be sent anew. */
 	releasedElsewhere(key: string): OnceEffect[] {
 		this.#orphans.delete(key);
-		const attempt = this.#waitingFor(key);
+		const attempt = this.#attempts.waitingFor(key);
 		return attempt === undefined ? [] : this.#settleRefused(attempt, givenUp, false);
 	}
 
 	/** Takes the end of a call that the primary before this one ran. */
 	finishedElsewhere(key: string): OnceEffect[] {
 		const answer = this.#definition.table.get(key)?.answer;
-		const attempt = this.#waitingFor(key);
+		const attempt = this.#attempts.waitingFor(key);
 		if (attempt === undefined || answer === undefined) {
 			return [];
 		}
 
-		this.#attempts.delete(attempt.call.callId);
+		this.#attempts.close(attempt);
 		return [attempt.call, ...attempt.joined].map(call => this.#settleJoined(call, answer));
 	}
 
@@ -204,7 +205,7 @@
 	}
 
 	advance(now: number): OnceEffect[] {
-		return [...this.#attempts.values()].flatMap(attempt => this.#advanceAttempt(attempt, now));
+		return this.#attempts.all.flatMap(attempt => this.#advanceAttempt(attempt, now));
 	}
 
 	#openNew(call: OnceCall, now: number): OpenResult {
@@ -218,9 +219,7 @@
 
 		const id = this.#definition.nextId(this.#epoch);
 		this.#putClaim(call, id, ClaimState.Pending, undefined, now);
-		this.#attempts.set(call.callId, {
-			call, id, joined: [], stage: Stage.Admitting, sentAt: -Infinity, releaseUntil: Infinity, error: undefined,
-		});
+		this.#attempts.open(call, id, Stage.Admitting);
 		return {type: OpenResultType.Proceed};
 	}
 
@@ -229,11 +228,9 @@
 			return this.#refusedOpen(ErrorKind.KeyUncertain, 'An earlier try with this key may have run', false);
 		}
 
-		const attempt = [...this.#attempts.values()].find(candidate => candidate.call.key === call.key && compareClaimIds(candidate.id, known.id) === 0);
+		const attempt = this.#attempts.ofClaim(call.key, known.id);
 		if (attempt === undefined) {
-			this.#attempts.set(call.callId, {
-				call, id: known.id, joined: [], stage: Stage.Waiting, sentAt: 0, releaseUntil: Infinity, error: undefined,
-			});
+			this.#attempts.open(call, known.id, Stage.Waiting);
 		} else {
 			attempt.joined.push(call);
 		}
@@ -252,7 +249,7 @@
 	}
 
 	#sendAll(now: number): OnceEffect[] {
-		return [...this.#attempts.values()].flatMap(attempt => this.#sendAttempt(attempt, now));
+		return this.#attempts.all.flatMap(attempt => this.#sendAttempt(attempt, now));
 	}
 
 	#sendAttempt(attempt: Attempt, now: number): OnceEffect[] {
@@ -319,16 +316,7 @@
 	}
 
 	#attemptOf(message: OnceMessage, stage: Stage): Attempt | undefined {
-		if (!('id' in message)) {
-			return undefined;
-		}
-
-		const {id} = message;
-		return [...this.#attempts.values()].find(attempt => attempt.stage === stage && compareClaimIds(attempt.id, id) === 0);
-	}
-
-	#waitingFor(key: string): Attempt | undefined {
-		return [...this.#attempts.values()].find(attempt => attempt.call.key === key && attempt.stage === Stage.Waiting);
+		return 'id' in message ? this.#attempts.at(stage, message.id) : undefined;
 	}
 
 	#advanceAttempt(attempt: Attempt, now: number): OnceEffect[] {
@@ -360,7 +348,7 @@
 			return [];
 		}
 
-		this.#attempts.delete(attempt.call.callId);
+		this.#attempts.close(attempt);
 		return [attempt.call, ...attempt.joined].map(call => this.#settleJoined(call, undefined));
 	}
 
@@ -373,7 +361,7 @@
 	}
 
 	#settleRefused(attempt: Attempt, error: CallError, confirmed: boolean): OnceEffect[] {
-		this.#attempts.delete(attempt.call.callId);
+		this.#attempts.close(attempt);
 		this.#definition.table.remove(attempt.call.key, attempt.id);
 		const refusal = {type: OnceEffectType.Refused, isNotRun: true, confirmed} as const;
 		const errorOfJoined = kindsOfOneTry.has(error.kind) ? givenUp : error;
