--- a/benchmarks/src/virtual-node.ts
+++ b/benchmarks/src/virtual-node.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type {
-	CallerAnswer, EntryMechanisms, GuardMechanisms, Manifest, NodeCore, NodeEffect, UpstreamFailure,
+	CallerAnswer, EntryMechanisms, GuardMechanisms, Manifest, NodeCore, NodeDefinition, NodeEffect, UpstreamFailure,
 } from '@laburnumspool/core';
 
 /** A call that an upstream makes for another. */
@@ -38,6 +38,7 @@
 	readonly services: readonly VirtualService[];
 	readonly guardMechanisms?: GuardMechanisms;
 	readonly entryMechanisms?: EntryMechanisms;
+	readonly retries?: NodeDefinition['retries'];
 	readonly fateOf?: (effect: NodeEffect, from: string) => MessageFate;
 	readonly withoutStoreMilliseconds?: number;
 };
--- a/benchmarks/src/virtual-system.ts
+++ b/benchmarks/src/virtual-system.ts
@@ -74,6 +74,7 @@
 			clockErrorMilliseconds: 100,
 			...(this.#definition.guardMechanisms === undefined ? {} : {guardMechanisms: this.#definition.guardMechanisms}),
 			...(this.#definition.entryMechanisms === undefined ? {} : {entryMechanisms: this.#definition.entryMechanisms}),
+			...(this.#definition.retries === undefined ? {} : {retries: this.#definition.retries}),
 		});
 		return new VirtualNode(core, service);
 	}
