Judge the end of an answer by where its end was read

Callers could get a cut answer as a whole one when its last transfer coding was "chunked" with a tab or a no-break space around it: the parser takes that for a coding that ends with the connection, and our own reading of the header, which trimmed more, for an end of the answer's own.

The header is not read a second time any more. Each connection notes whether it has ended, and how; an answer that ends before its connection does had its end in its bytes, and one that ends with it needs an orderly end. The note belongs to one connection, so that the end of another one in the same turn cannot vouch for it.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -6,8 +6,7 @@
 import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {BodyBuffer} from './body-buffer.js';
-import {bodilessStatuses, findHeader} from './http-messages.js';
-import type {WatchedConnections} from './watched-connections.js';
+import type {WatchedConnection, WatchedConnections} from './watched-connections.js';
 
 /** How an exchange failed. */
 export enum ExchangeFailure {
@@ -24,8 +23,8 @@
 export type ExchangeResult
 	= | {
 		readonly success: true; readonly status: number; readonly headers: string[]; readonly body: Buffer;
-		/** False when it ended with its connection, which may have been cut. */
-		readonly isWhole: boolean;
+		/** The connection that it came over, where connections are watched. */
+		readonly connection: WatchedConnection | undefined;
 	}
 	| {
 		readonly success: false; readonly failure: ExchangeFailure;
@@ -86,11 +85,11 @@
 
 class ExchangeHandler implements Dispatcher.DispatchHandler {
 	readonly #maximumBytes: number;
-	readonly #isHead: boolean;
 	readonly #report: (result: ExchangeResult) => void;
 	readonly #connections: WatchedConnections | undefined;
 	readonly #body = new BodyBuffer();
 	#controller: Dispatcher.DispatchController | undefined;
+	#connection: WatchedConnection | undefined;
 	#isAborted = false;
 	#isExpired = false;
 	#isTooLarge = false;
@@ -98,9 +97,8 @@
 	#status = 0;
 	#headers: string[] = [];
 
-	constructor({maximumBytes, method}: ExchangeRequest, report: (result: ExchangeResult) => void, connections: WatchedConnections | undefined) {
+	constructor({maximumBytes}: ExchangeRequest, report: (result: ExchangeResult) => void, connections: WatchedConnections | undefined) {
 		this.#maximumBytes = maximumBytes;
-		this.#isHead = method === 'HEAD';
 		this.#report = report;
 		this.#connections = connections;
 	}
@@ -131,6 +129,7 @@
 			return;
 		}
 
+		this.#connection = this.#connections?.reading;
 		this.#status = status;
 		this.#headers = toPairs(headers);
 	}
@@ -147,7 +146,7 @@
 
 	onResponseEnd(): void {
 		this.#reportOnce({
-			success: true, status: this.#status, headers: this.#headers, body: this.#body.bytes, isWhole: this.#isWhole(),
+			success: true, status: this.#status, headers: this.#headers, body: this.#body.bytes, connection: this.#connection,
 		});
 	}
 
@@ -155,11 +154,6 @@
 		this.#reportOnce({success: false, failure: this.#failure(), headers: this.#headers});
 	}
 
-	/** An answer that does not say itself where it ends does so with its connection, if that ends in order. */
-	#isWhole(): boolean {
-		return this.#isHead || bodilessStatuses.has(this.#status) || isSelfDelimiting(this.#headers) || this.#connections?.isEndingInOrder === true;
-	}
-
 	#failure(): ExchangeFailure {
 		if (this.#controller === undefined) {
 			return ExchangeFailure.NotConnected;
@@ -182,12 +176,6 @@
 	}
 }
 
-/** Whether an answer says itself where it ends (RFC 9112, section 6.3): only a last coding of chunks does, or else a length. */
-function isSelfDelimiting(headers: readonly string[]): boolean {
-	const codings = headers.flatMap((name, position) => position % 2 === 0 && name === 'transfer-encoding' ? headers[position + 1]!.split(',') : []);
-	return codings.length === 0 ? findHeader(headers, 'content-length') !== undefined : codings.at(-1)!.trim().toLowerCase() === 'chunked';
-}
-
 /** Names and values in turn. */
 function toPairs(headers: Record<string, string | string[] | undefined>): string[] {
 	const pairs: string[] = [];
--- a/packages/node/src/http-messages.ts
+++ b/packages/node/src/http-messages.ts
@@ -21,9 +21,6 @@
 	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length', 'expect',
 ]);
 
-/** Statuses of answers that never have a body. */
-export const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
-
 /** Values of the connection header that declare no others. */
 const onlyKeepsOrCloses = /^(?:keep-alive|close)$/iu;
 
--- a/packages/node/src/tests/answer-ends.test.ts
+++ b/packages/node/src/tests/answer-ends.test.ts
@@ -11,15 +11,15 @@
 const cutAnswer = (requestId: string, line = ''): string => `HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\n${line}\r\nabc`;
 
 function cut(socket: Socket, bytes: string): void {
-	socket.write(bytes);
+	socket.write(bytes, 'latin1');
 	socket.resetAndDestroy();
 }
 
-/** Codings after which a body ends with its connection (RFC 9112, section 6.3). */
-const codings = ['gzip', 'identity', 'chunked, gzip', 'xchunked', ''];
+/** Codings after which a body ends with its connection (RFC 9112, section 6.3), or of which the parser says so. */
+const codings = ['gzip', 'identity', 'chunked, gzip', 'xchunked', '', 'chunked\t', 'chunked\u00A0', '\u00A0chunked', 'gzip,\u00A0chunked', 'chunked,', 'chunked\r\ntransfer-encoding: gzip'];
 
 for (const coding of codings) {
-	test(`an answer whose last coding is not chunked and that is cut is none: "${coding}"`, async t => {
+	test(`an answer whose last coding is not chunked and that is cut is none: ${JSON.stringify(coding)}`, async t => {
 		const {call} = await start(t, (requestId, socket) => {
 			cut(socket, cutAnswer(requestId, `transfer-encoding: ${coding}\r\n`));
 		});
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -146,7 +146,7 @@
 	}
 
 	/** What an answer says beside its body: that the request was not run, or that the answer is not its own. */
-	#failureOf(effect: DispatchEffect, {status, headers, isWhole}: ExchangeAnswer): UpstreamFailure | undefined {
+	#failureOf(effect: DispatchEffect, {status, headers, connection}: ExchangeAnswer): UpstreamFailure | undefined {
 		const {callId, requestId} = effect;
 		const {notExecuted, requestId: requestIdName, signature} = this.#headers;
 		const repeated = findHeader(headers, requestIdName);
@@ -168,7 +168,7 @@
 			return UpstreamFailure.Broken;
 		}
 
-		if (!isWhole) {
+		if (connection?.isCut !== false) {
 			this.#log.warn(`the answer to ${callId} has no length and ended with its connection, which was cut`);
 			return UpstreamFailure.Broken;
 		}
--- a/packages/node/src/watched-connections.ts
+++ b/packages/node/src/watched-connections.ts
@@ -10,6 +10,30 @@
 const bytesAround = 256 * 1024;
 const factorAround = 8;
 
+/**
+ * What is known of one connection. Its listeners come before those of the library, which tells an exchange of the end of
+ * its answer in the same event: as long as the connection has not ended, the end of the answer stood in its bytes.
+ */
+export class WatchedConnection {
+	#isCut = false;
+
+	constructor(socket: Socket) {
+		socket.on('end', () => {
+			this.#isCut = Reflect.get(Socket.prototype, 'remoteAddress', socket) === undefined;
+		});
+		for (const event of ['error', 'close']) {
+			socket.on(event, () => {
+				this.#isCut = true;
+			});
+		}
+	}
+
+	/** Whether it has ended other than in order, so that what ends with it may not be whole. */
+	get isCut(): boolean {
+		return this.#isCut;
+	}
+}
+
 /**
  * Connects, and watches each connection.
  *
@@ -24,7 +48,7 @@
  */
 export class WatchedConnections {
 	readonly connect: buildConnector.connector;
-	#isEndingInOrder = false;
+	#reading: WatchedConnection | undefined;
 	#maximumBytes = bytesAround;
 
 	constructor(connectMilliseconds: number) {
@@ -34,8 +58,7 @@
 				// The library adds its own listeners in the callback, so these run first.
 				if (result[1] !== null) {
 					keepAddress(result[1], options);
-					this.#watchEnd(result[1]);
-					this.#watchBytes(result[1]);
+					this.#watch(result[1]);
 				}
 
 				callback(...result);
@@ -43,9 +66,9 @@
 		};
 	}
 
-	/** Whether an orderly end of a connection is being told to its exchange at this moment. */
-	get isEndingInOrder(): boolean {
-		return this.#isEndingInOrder;
+	/** The connection whose bytes are being read at this moment. */
+	get reading(): WatchedConnection | undefined {
+		return this.#reading;
 	}
 
 	/** Makes room for a body of so many bytes. */
@@ -53,19 +76,12 @@
 		this.#maximumBytes = Math.max(this.#maximumBytes, bytesAround + (bytes * factorAround));
 	}
 
-	#watchEnd(socket: Socket): void {
-		socket.on('end', () => {
-			this.#isEndingInOrder = Reflect.get(Socket.prototype, 'remoteAddress', socket) !== undefined;
-			queueMicrotask(() => {
-				this.#isEndingInOrder = false;
-			});
-		});
-	}
-
-	#watchBytes(socket: Socket): void {
+	#watch(socket: Socket): void {
+		const connection = new WatchedConnection(socket);
 		let written = 0;
 		let readBefore = 0;
 		socket.on('readable', () => {
+			this.#reading = connection;
 			if (socket.bytesWritten !== written) {
 				written = socket.bytesWritten;
 				readBefore = socket.bytesRead;
