Use no connection again after an answer that vouches for no request

A call that runs could be reported as not run, and so be refused or run once more: an upstream that answers twice may send its refusal without the request's name, the second time late, and the next call on the connection took it for its own. The same went for a named refusal when the same request was sent to the upstream again, and after an answer to another request each later call on the connection got the answer to the one before it.

Whatever cannot be told from a second copy ends its connection now: refusals, answers to other requests, answers without a name. A refusal without a name counts only as the first answer on its connection, where no earlier request can have caused it. Since a refusal closes its connection, honest ones without a name are doubted once for each kept connection at most.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -130,6 +130,7 @@
 		}
 
 		this.#connection = this.#connections?.reading;
+		this.#connection?.countAnswer();
 		this.#status = status;
 		this.#headers = toPairs(headers);
 	}
--- a/packages/node/src/tests/raw-upstream.ts
+++ b/packages/node/src/tests/raw-upstream.ts
@@ -63,13 +63,13 @@
 export const whole = (requestId: string, text: string): string => `HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
 
 /** Starts an upstream that answers each request with the bytes that the test gives for it. */
-export async function start(t: Test, answer: (requestId: string, socket: Socket) => void, {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000} = {}): Promise<Upstream> {
+export async function start(t: Test, answer: (requestId: string, socket: Socket) => void, {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000, isNamed = true} = {}): Promise<Upstream> {
 	const connections: Socket[] = [];
 	const server = createServer(socket => {
 		connections.push(socket);
 		socket.on('error', silent);
 		socket.on('data', (chunk: Buffer) => {
-			answer(/request-id: (\S+)/u.exec(chunk.toString('latin1'))![1]!, socket);
+			answer(/request-id: (\S+)/u.exec(chunk.toString('latin1'))?.[1] ?? '', socket);
 		});
 	}).listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -90,7 +90,7 @@
 		core.carryOut({
 			type: NodeEffectType.Dispatch,
 			callId: `n.1.${number}`,
-			requestId: `r${number}`,
+			requestId: isNamed ? `r${number}` : '',
 			request: {
 				method: 'GET', target: '/x', headers: [], body: Buffer.alloc(0), digest: '',
 			},
--- a/packages/node/src/tests/upstream-client.test.ts
+++ b/packages/node/src/tests/upstream-client.test.ts
@@ -49,6 +49,73 @@
 	});
 }
 
+const lateRefusals: Readonly<Record<string, string>> = {
+	'not executed': 'HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n',
+	'another instance': 'HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n',
+};
+
+for (const [name, refusal] of Object.entries(lateRefusals)) {
+	test(`a late refusal without a name is no proof that the next call was not run: ${name}`, async t => {
+		const {call, connections} = await start(t, (requestId, socket) => {
+			socket.write((requestId === 'r2' ? refusal : '') + whole(requestId, requestId));
+		});
+		t.equal(await call(1), '200 r1');
+		t.equal(await call(2), UpstreamFailure.Broken);
+		t.equal(connections.length, 1, 'both went over one connection');
+		t.equal(await call(3), '200 r3');
+	});
+
+	test(`a refusal without a name that is sent twice says nothing of the next call: ${name}`, async t => {
+		const {call, connections} = await start(t, (requestId, socket) => {
+			socket.write(requestId === 'r1' ? refusal : (connections.length === 1 ? refusal : '') + whole(requestId, requestId));
+		});
+		t.not(await call(1), UpstreamFailure.Broken);
+		t.equal(await call(2), '200 r2');
+	});
+
+	test(`a refusal without a name is a proof on a connection that has had no other request: ${name}`, async t => {
+		const {call, connections} = await start(t, (_requestId, socket) => socket.write(refusal));
+		const results = [await call(1), await call(2), await call(3)];
+		t.notOk(results.includes(UpstreamFailure.Broken));
+		t.equal(connections.length, 3);
+	});
+}
+
+test('a refusal that is sent twice says nothing of the same request\'s second run', async t => {
+	let requests = 0;
+	const refusal = 'HTTP/1.1 503 Service Unavailable\r\nrequest-id: r1\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n';
+	const {call, connections} = await start(t, (requestId, socket) => {
+		requests += 1;
+		socket.write(requests === 1 ? refusal : (connections.length === 1 ? refusal : '') + whole(requestId, requestId));
+	});
+	t.equal(await call(1), UpstreamFailure.Refused);
+	t.equal(await call(1), '200 r1');
+});
+
+test('after an answer to another request the connection is not used again, so that later calls get their own', async t => {
+	const {call, connections} = await start(t, (requestId, socket) => {
+		if (requestId === 'r2') {
+			socket.write(whole('r1', 'again'), () => {
+				setTimeout(() => {
+					socket.write(whole('r2', 'r2'));
+				}, 20);
+			});
+		} else {
+			setTimeout(() => {
+				socket.write(whole(requestId, requestId));
+			}, 40);
+		}
+	});
+	t.same([await call(1), await call(2), await call(3), await call(4)], ['200 r1', UpstreamFailure.Broken, '200 r3', '200 r4']);
+	t.equal(connections.length, 2);
+});
+
+test('after an answer without a name to a request without one the connection is not used again', async t => {
+	const {call, connections} = await start(t, (_requestId, socket) => socket.write('HTTP/1.1 200 OK\r\nsignature: s\r\ncontent-length: 2\r\n\r\nok'), {isNamed: false});
+	t.same([await call(1), await call(2)], ['200 ok', '200 ok']);
+	t.equal(connections.length, 2);
+});
+
 test('an answer that is cut, reset or unsigned is none, and one without a length needs an orderly end', async t => {
 	const ends: Readonly<Record<string, (socket: Socket) => void>> = {
 		r1: socket => socket.end('HTTP/1.1 200 OK\r\nrequest-id: r1\r\nsignature: s\r\ncontent-length: 10\r\n\r\nabc'),
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -131,8 +131,14 @@
 			return;
 		}
 
-		const {status, body} = result;
+		const {status, body, connection} = result;
 		const failure = this.#failureOf(effect, result);
+		const {requestId: name} = this.#headers;
+		if (failure !== undefined || (name !== undefined && findHeader(result.headers, name) === undefined)) {
+			// A second copy of this answer could not be told from one to a later call.
+			connection?.close();
+		}
+
 		const answer = {status, headers: filterHeaders(result.headers, this.#ownHeaders), body};
 		this.#core.post(failure === undefined
 			? {type: CoreMessageType.UpstreamAnswered, callId, answer}
@@ -145,22 +151,33 @@
 		return name === undefined || requestId === '' || findHeader(headers, name) === requestId;
 	}
 
+	/** What an answer with the mark of a refusal says, if it answers this call. */
+	#refusalOf(status: number, headers: readonly string[]): UpstreamFailure | undefined {
+		if (status === misdirectedStatus && this.#headers.expectedInstance !== undefined) {
+			return UpstreamFailure.OtherInstance;
+		}
+
+		return findHeader(headers, this.#headers.notExecuted) === undefined ? undefined : UpstreamFailure.Refused;
+	}
+
 	/** What an answer says beside its body: that the request was not run, or that the answer is not its own. */
 	#failureOf(effect: DispatchEffect, {status, headers, connection}: ExchangeAnswer): UpstreamFailure | undefined {
 		const {callId, requestId} = effect;
-		const {notExecuted, requestId: requestIdName, signature} = this.#headers;
+		const {requestId: requestIdName, signature} = this.#headers;
 		const repeated = findHeader(headers, requestIdName);
 		if (repeated !== undefined && repeated !== requestId) {
 			this.#log.warn(`the answer to ${callId} belongs to request ${repeated} in place of ${requestId}`);
 			return UpstreamFailure.Broken;
 		}
 
-		if (status === misdirectedStatus && this.#headers.expectedInstance !== undefined) {
-			return UpstreamFailure.OtherInstance;
-		}
+		const refusal = this.#refusalOf(status, headers);
+		if (refusal !== undefined) {
+			const isProof = (repeated !== undefined && repeated !== '') || connection?.isFirstAnswer === true;
+			if (!isProof) {
+				this.#log.warn(`the refusal of ${callId} names no request, and may be a second one of an earlier request`);
+			}
 
-		if (findHeader(headers, notExecuted) !== undefined) {
-			return UpstreamFailure.Refused;
+			return isProof ? refusal : UpstreamFailure.Broken;
 		}
 
 		if (!this.#isNamed(effect, headers)) {
--- a/packages/node/src/watched-connections.ts
+++ b/packages/node/src/watched-connections.ts
@@ -15,9 +15,12 @@
  * its answer in the same event: as long as the connection has not ended, the end of the answer stood in its bytes.
  */
 export class WatchedConnection {
+	readonly #socket: Socket;
 	#isCut = false;
+	#answerCount = 0;
 
 	constructor(socket: Socket) {
+		this.#socket = socket;
 		socket.on('end', () => {
 			this.#isCut = Reflect.get(Socket.prototype, 'remoteAddress', socket) === undefined;
 		});
@@ -32,6 +35,21 @@
 	get isCut(): boolean {
 		return this.#isCut;
 	}
+
+	/** Whether the answer that came last is the first one, so that it cannot be a second one to an earlier request. */
+	get isFirstAnswer(): boolean {
+		return this.#answerCount === 1;
+	}
+
+	/** Notes the head of an answer. */
+	countAnswer(): void {
+		this.#answerCount += 1;
+	}
+
+	/** Has no other request sent over it. */
+	close(): void {
+		this.#socket.destroy();
+	}
 }
 
 /**
