Read what waits on an idle connection before a call is sent over it

A call could get bytes that had come before it was sent: a late answer or part of one that arrived while the process was busy, on a connection that was idle. The client library lets an immediate pass first, so that such bytes end the connection; but from a callback of input the check phase follows without another poll, and the bytes were read as the answer. The beginning of a head was joined with the head of the call's own answer, and passed on with the status of the wrong one.

Calls are handed to the library in an immediate of their own, so that a whole poll lies between a call and its bytes.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -67,15 +67,18 @@
 		clearTimeout(deadline);
 		report(result);
 	}, connections);
-	pool.dispatch({
-		...(origin === undefined ? {} : {origin}),
-		method,
-		path,
-		headers,
-		body: body === undefined || body.length === 0 ? null : body,
-		headersTimeout: timeoutMilliseconds,
-		bodyTimeout: timeoutMilliseconds,
-	}, handler);
+	// The library lets one immediate pass before it uses an idle connection; only a second one has a poll before it for sure.
+	setImmediate(() => {
+		pool.dispatch({
+			...(origin === undefined ? {} : {origin}),
+			method,
+			path,
+			headers,
+			body: body === undefined || body.length === 0 ? null : body,
+			headersTimeout: timeoutMilliseconds,
+			bodyTimeout: timeoutMilliseconds,
+		}, handler);
+	});
 	return {
 		abort() {
 			handler.abort();
--- a/packages/node/src/tests/raw-upstream.ts
+++ b/packages/node/src/tests/raw-upstream.ts
@@ -62,28 +62,17 @@
 /** Bytes of an answer. */
 export const whole = (requestId: string, text: string): string => `HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
 
-/** Starts an upstream that answers each request with the bytes that the test gives for it. */
-export async function start(t: Test, answer: (requestId: string, socket: Socket) => void, {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000, isNamed = true} = {}): Promise<Upstream> {
-	const connections: Socket[] = [];
-	const server = createServer(socket => {
-		connections.push(socket);
-		socket.on('error', silent);
-		socket.on('data', (chunk: Buffer) => {
-			answer(/request-id: (\S+)/u.exec(chunk.toString('latin1'))?.[1] ?? '', socket);
-		});
-	}).listen(0, '127.0.0.1');
-	await once(server, 'listening');
+type ClientOptions = {readonly timeLeftMilliseconds?: number; readonly answerBytesLimit?: number; readonly isNamed?: boolean};
+
+/** Starts a client of the upstream at a port. */
+export function startClient(t: Test, port: number, {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000, isNamed = true}: ClientOptions = {}): Omit<Upstream, 'connections'> {
 	const core = new CoreStandIn();
 	const client = new UpstreamClient(core as unknown as CoreTask, headers, silentLog);
-	t.teardown(async () => {
-		connections.map(socket => socket.destroy());
-		server.close();
-		await client.close();
-	});
+	t.teardown(async () => client.close());
 	core.carryOut({
 		type: NodeEffectType.UpstreamAnnounced,
 		announcement: {
-			service: 's', slots: 1, address: `127.0.0.1:${(server.address() as {port: number}).port}`, state: AnnouncedState.Ready, instance: 'i-1', load: undefined,
+			service: 's', slots: 1, address: `127.0.0.1:${port}`, state: AnnouncedState.Ready, instance: 'i-1', load: undefined,
 		},
 	});
 	const dispatch = (number: number): void => {
@@ -102,13 +91,31 @@
 	};
 
 	return {
-		core, connections, dispatch, async call(number) {
+		core, dispatch, async call(number) {
 			dispatch(number);
 			return summary(await core.next());
 		},
 	};
 }
 
+/** Starts an upstream that answers each request with the bytes that the test gives for it, and a client of it. */
+export async function start(t: Test, answer: (requestId: string, socket: Socket) => void, options: ClientOptions = {}): Promise<Upstream> {
+	const connections: Socket[] = [];
+	const server = createServer(socket => {
+		connections.push(socket);
+		socket.on('error', silent);
+		socket.on('data', (chunk: Buffer) => {
+			answer(/request-id: (\S+)/u.exec(chunk.toString('latin1'))?.[1] ?? '', socket);
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		connections.map(socket => socket.destroy());
+		server.close();
+	});
+	return {...startClient(t, (server.address() as {port: number}).port, options), connections};
+}
+
 export function summary(message: CoreMessage): string {
 	if (message.type === CoreMessageType.UpstreamAnswered) {
 		return `${message.answer.status} ${Buffer.from(message.answer.body).toString('utf8')}`;
