Take no answer whose head holds the beginning of another

A call that ran could be reported as refused, or be answered with another status or signature: when a late second answer broke off in its status line or in a header, the head of the call's own answer was read as the rest of that line, and the two made one answer with the call's name. The status and the marks were those of the first.

A status line inside of a head ends the exchange and its connection, and an answer that names more than one request is none.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -8,6 +8,9 @@
 import {BodyBuffer} from './body-buffer.js';
 import type {WatchedConnection, WatchedConnections} from './watched-connections.js';
 
+/** A status line inside of a head: the head broke off, and another answer's follows. */
+const statusLine = /HTTP\/1\.\d \d{3}/u;
+
 /** How an exchange failed. */
 export enum ExchangeFailure {
 	/** Nothing was written to a connection. */
@@ -127,7 +130,7 @@
 		this.#controller = controller;
 	}
 
-	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>, reason = ''): void {
 		if (status < 200) {
 			return;
 		}
@@ -136,6 +139,9 @@
 		this.#connection?.countAnswer();
 		this.#status = status;
 		this.#headers = toPairs(headers);
+		if (statusLine.test(reason) || this.#headers.some(text => statusLine.test(text))) {
+			controller.abort(new Error('The head of the answer broke off'));
+		}
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/packages/node/src/http-messages.ts
+++ b/packages/node/src/http-messages.ts
@@ -56,6 +56,11 @@
 	return headers.flatMap((name, position) => position % 2 === 0 && !names.has(name) ? [name, headers[position + 1]!] : []);
 }
 
+/** Values of a header among raw pairs with lower-case names. */
+export function findHeaders(headers: RawHeaders, name: string | undefined): string[] {
+	return name === undefined ? [] : headers.filter((_value, index) => index % 2 === 1 && headers[index - 1] === name);
+}
+
 /** Value of a header among raw pairs with lower-case names. */
 export function findHeader(headers: RawHeaders, name: string | undefined): string | undefined {
 	const position = name === undefined ? -1 : headers.findIndex((header, index) => index % 2 === 0 && header === name);
--- a/packages/node/src/tests/answer-ends.test.ts
+++ b/packages/node/src/tests/answer-ends.test.ts
@@ -61,6 +61,35 @@
 	});
 }
 
+/** Beginnings of an answer that break off where the head of the next one follows. */
+const brokenOff = [
+	'HTTP/1.1 503 Serv',
+	'HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1',
+	'HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\nretry-after: ',
+	'HTTP/1.1 200 OK\r\nsignature: other\r\nx: y',
+	'HTTP/1.1 421 Misdirected Request\r\nrequest-id: r2\r\nx: ',
+];
+
+for (const beginning of brokenOff) {
+	test(`the head of an answer is not joined with one that broke off: ${JSON.stringify(beginning)}`, async t => {
+		const {call, connections} = await start(t, (requestId, socket) => {
+			socket.write((requestId === 'r2' ? beginning : '') + whole(requestId, requestId));
+		});
+		t.same([await call(1), await call(2), await call(3)], ['200 r1', UpstreamFailure.Broken, '200 r3']);
+		t.equal(connections.length, 2);
+	});
+}
+
+for (const names of [['r2', 'r1'], ['r1', 'r2'], ['r2', '']]) {
+	test(`an answer that names two requests is none: ${JSON.stringify(names)}`, async t => {
+		const {call} = await start(t, (requestId, socket) => {
+			const head = (requestId === 'r2' ? names : [requestId]).map(name => `request-id: ${name}\r\n`).join('');
+			socket.write(`HTTP/1.1 200 OK\r\n${head}signature: s\r\ncontent-length: 2\r\n\r\nok`);
+		});
+		t.same([await call(1), await call(2), await call(3)], ['200 ok', UpstreamFailure.Broken, '200 ok']);
+	});
+}
+
 test('an answer to HEAD is whole with its head', async t => {
 	const {core} = await start(t, (requestId, socket) => {
 		socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\n\r\n`);
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -11,7 +11,9 @@
 import {
 	ExchangeFailure, startExchange, type Exchange, type ExchangeResult,
 } from './http-client.js';
-import {filterHeaders, findHeader, HeaderName} from './http-messages.js';
+import {
+	filterHeaders, findHeader, findHeaders, HeaderName,
+} from './http-messages.js';
 import type {PartLog} from './logs.js';
 import type {HeaderNames} from './settings.js';
 import {WatchedConnections} from './watched-connections.js';
@@ -148,7 +150,8 @@
 	/** Whether an answer names the request, where names are in use. */
 	#isNamed({requestId}: DispatchEffect, headers: readonly string[]): boolean {
 		const {requestId: name} = this.#headers;
-		return name === undefined || requestId === '' || findHeader(headers, name) === requestId;
+		const names = findHeaders(headers, name);
+		return name === undefined || requestId === '' || (names.length > 0 && names.every(text => text === requestId));
 	}
 
 	/** What an answer with the mark of a refusal says, if it answers this call. */
@@ -164,15 +167,15 @@
 	#failureOf(effect: DispatchEffect, {status, headers, connection}: ExchangeAnswer): UpstreamFailure | undefined {
 		const {callId, requestId} = effect;
 		const {requestId: requestIdName, signature} = this.#headers;
-		const repeated = findHeader(headers, requestIdName);
-		if (repeated !== undefined && repeated !== requestId) {
-			this.#log.warn(`the answer to ${callId} belongs to request ${repeated} in place of ${requestId}`);
+		const names = findHeaders(headers, requestIdName);
+		if (names.some(name => name !== requestId)) {
+			this.#log.warn(`the answer to ${callId} belongs to request ${names.join(' or ')} in place of ${requestId}`);
 			return UpstreamFailure.Broken;
 		}
 
 		const refusal = this.#refusalOf(status, headers);
 		if (refusal !== undefined) {
-			const isProof = (repeated !== undefined && repeated !== '') || connection?.isFirstAnswer === true;
+			const isProof = (names.length > 0 && requestId !== '') || connection?.isFirstAnswer === true;
 			if (!isProof) {
 				this.#log.warn(`the refusal of ${callId} names no request, and may be a second one of an earlier request`);
 			}
