--- a/packages/node/src/tests/raw-upstream.ts
+++ b/packages/node/src/tests/raw-upstream.ts
@@ -56,14 +56,19 @@
 
 /** What a test may say of a request. */
 type RequestParts = {readonly method?: string; readonly body?: Buffer};
+type ClientOptions = {readonly timeLeftMilliseconds?: number; readonly answerBytesLimit?: number; readonly isNamed?: boolean};
 
 export type Client = {
 	readonly core: CoreStandIn;
 	readonly dispatch: (number: number, parts?: RequestParts) => void;
+	/** Sends a call and resolves with what became of it. */
+	readonly call: (number: number) => Promise<string>;
 };
 
-/** Starts a client of the upstream at the port. */
-export function startClient(t: Test, port: number, {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000} = {}): Client {
+export type Upstream = Client & {readonly connections: Socket[]};
+
+/** Starts a client of the upstream at a port. */
+export function startClient(t: Test, port: number, {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000, isNamed = true}: ClientOptions = {}): Client {
 	const core = new CoreStandIn();
 	const client = new UpstreamClient(core as unknown as CoreTask, headers, silentLog);
 	t.teardown(async () => client.close());
@@ -73,38 +78,37 @@
 			service: 's', slots: 1, address: `127.0.0.1:${port}`, state: AnnouncedState.Ready, instance: 'i-1', load: undefined,
 		},
 	});
+	const dispatch = (number: number, {method = 'GET', body = Buffer.alloc(0)}: RequestParts = {}): void => {
+		core.carryOut({
+			type: NodeEffectType.Dispatch,
+			callId: `n.1.${number}`,
+			requestId: isNamed ? `r${number}` : '',
+			request: {
+				method, target: '/x', headers: [], body, digest: '',
+			},
+			traceparent: 'p',
+			tracestate: 's',
+			timeLeftMilliseconds,
+			answerBytesLimit,
+		});
+	};
+
 	return {
-		core, dispatch(number, {method = 'GET', body = Buffer.alloc(0)} = {}) {
-			core.carryOut({
-				type: NodeEffectType.Dispatch,
-				callId: `n.1.${number}`,
-				requestId: `r${number}`,
-				request: {
-					method, target: '/x', headers: [], body, digest: '',
-				},
-				traceparent: 'p',
-				tracestate: 's',
-				timeLeftMilliseconds,
-				answerBytesLimit,
-			});
+		core, dispatch, async call(number) {
+			dispatch(number);
+			return summary(await core.next());
 		},
 	};
 }
 
-export type Upstream = Client & {
-	/** Sends a call and resolves with what became of it. */
-	readonly call: (number: number) => Promise<string>;
-	readonly connections: Socket[];
-};
-
-/** Starts an upstream that answers each request with the bytes that the test gives for it. */
-export async function start(t: Test, answer: (requestId: string, socket: Socket) => void, bounds = {}): Promise<Upstream> {
+/** Starts an upstream that answers each request with the bytes that the test gives for it, and a client of it. */
+export async function start(t: Test, answer: (requestId: string, socket: Socket) => void, options: ClientOptions = {}): Promise<Upstream> {
 	const connections: Socket[] = [];
 	const server = createServer(socket => {
 		connections.push(socket);
 		socket.on('error', silent);
 		socket.on('data', (chunk: Buffer) => {
-			answer(/request-id: (\S+)/u.exec(chunk.toString('latin1'))![1]!, socket);
+			answer(/request-id: (\S+)/u.exec(chunk.toString('latin1'))?.[1] ?? '', socket);
 		});
 	}).listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -112,13 +116,7 @@
 		connections.map(socket => socket.destroy());
 		server.close();
 	});
-	const {core, dispatch} = startClient(t, (server.address() as {port: number}).port, bounds);
-	return {
-		core, connections, dispatch, async call(number) {
-			dispatch(number);
-			return summary(await core.next());
-		},
-	};
+	return {...startClient(t, (server.address() as {port: number}).port, options), connections};
 }
 
 export function summary(message: CoreMessage): string {
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -11,7 +11,9 @@
 import {
 	ExchangeFailure, startExchange, type Exchange, type ExchangeResult,
 } from './http-client.js';
-import {filterHeaders, findHeader, HeaderName} from './http-messages.js';
+import {
+	filterHeaders, findHeader, findHeaders, HeaderName,
+} from './http-messages.js';
 import type {PartLog} from './logs.js';
 import type {HeaderNames} from './settings.js';
 import {WatchedConnections} from './watched-connections.js';
@@ -131,8 +133,14 @@
 			return;
 		}
 
-		const {status, body} = result;
+		const {status, body, connection} = result;
 		const failure = this.#failureOf(effect, result);
+		const {requestId: name} = this.#headers;
+		if (failure !== undefined || (name !== undefined && findHeader(result.headers, name) === undefined)) {
+			// A second copy of this answer could not be told from one to a later call.
+			connection?.close();
+		}
+
 		const answer = {status, headers: filterHeaders(result.headers, this.#ownHeaders), body};
 		this.#core.post(failure === undefined
 			? {type: CoreMessageType.UpstreamAnswered, callId, answer}
@@ -142,25 +150,37 @@
 	/** Whether an answer names the request, where names are in use. */
 	#isNamed({requestId}: DispatchEffect, headers: readonly string[]): boolean {
 		const {requestId: name} = this.#headers;
-		return name === undefined || requestId === '' || findHeader(headers, name) === requestId;
+		const names = findHeaders(headers, name);
+		return name === undefined || requestId === '' || (names.length > 0 && names.every(text => text === requestId));
+	}
+
+	/** What an answer with the mark of a refusal says, if it answers this call. */
+	#refusalOf(status: number, headers: readonly string[]): UpstreamFailure | undefined {
+		if (status === misdirectedStatus && this.#headers.expectedInstance !== undefined) {
+			return UpstreamFailure.OtherInstance;
+		}
+
+		return findHeader(headers, this.#headers.notExecuted) === undefined ? undefined : UpstreamFailure.Refused;
 	}
 
 	/** What an answer says beside its body: that the request was not run, or that the answer is not its own. */
-	#failureOf(effect: DispatchEffect, {status, headers, isWhole}: ExchangeAnswer): UpstreamFailure | undefined {
+	#failureOf(effect: DispatchEffect, {status, headers, connection}: ExchangeAnswer): UpstreamFailure | undefined {
 		const {callId, requestId} = effect;
-		const {notExecuted, requestId: requestIdName, signature} = this.#headers;
-		const repeated = findHeader(headers, requestIdName);
-		if (repeated !== undefined && repeated !== requestId) {
-			this.#log.warn(`the answer to ${callId} belongs to request ${repeated} in place of ${requestId}`);
+		const {requestId: requestIdName, signature} = this.#headers;
+		const names = findHeaders(headers, requestIdName);
+		if (names.some(name => name !== requestId)) {
+			this.#log.warn(`the answer to ${callId} belongs to request ${names.join(' or ')} in place of ${requestId}`);
 			return UpstreamFailure.Broken;
 		}
 
-		if (status === misdirectedStatus && this.#headers.expectedInstance !== undefined) {
-			return UpstreamFailure.OtherInstance;
-		}
+		const refusal = this.#refusalOf(status, headers);
+		if (refusal !== undefined) {
+			const isProof = (names.length > 0 && requestId !== '') || connection?.isFirstAnswer === true;
+			if (!isProof) {
+				this.#log.warn(`the refusal of ${callId} names no request, and may be a second one of an earlier request`);
+			}
 
-		if (findHeader(headers, notExecuted) !== undefined) {
-			return UpstreamFailure.Refused;
+			return isProof ? refusal : UpstreamFailure.Broken;
 		}
 
 		if (!this.#isNamed(effect, headers)) {
@@ -168,7 +188,7 @@
 			return UpstreamFailure.Broken;
 		}
 
-		if (!isWhole) {
+		if (connection?.isCut !== false) {
 			this.#log.warn(`the answer to ${callId} has no length and ended with its connection, which was cut`);
 			return UpstreamFailure.Broken;
 		}
