Take every waiting connection before a node stops listening

Callers saw connections reset at a planned stop in a burst. The runtime takes one connection a turn of the event loop, and a stopping node gave up looking after 200 ms: with long turns most of the listen queue was still there when the listener closed, and the kernel reset it. A node that stood still in its last look closed without another one.

Now turns are waited for until one was short (5 ms) and brought neither a connection nor a request, at most for half of the time left for the stop. The test of 90 waiting connections and turns of 8 ms failed before (only the first 16 were answered, the others reset) and passes now; a second one shows that callers without end cannot hold up the stop.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -27,8 +27,8 @@
 
 /** What stands around each header: colon, space and line end. */
 const bytesAroundHeader = 4;
-/** Longest time for which a stopping node takes connections that wait for it. */
-const lastLookMilliseconds = 200;
+/** Longest turn of the event loop after which a look at the connections still holds. */
+const quietMilliseconds = 5;
 const answerHeaders: ReadonlySet<string> = new Set([HeaderName.Outcome, HeaderName.Attempts]);
 
 export type CallersServerDefinition = {
@@ -61,7 +61,8 @@
 	#headerBytes = standardHeaderBytes;
 	#lastEntryId = 0;
 	#isStopping = false;
-	#takenConnections = 0;
+	/** Connections taken and requests begun. */
+	#arrivals = 0;
 
 	constructor(definition: CallersServerDefinition) {
 		this.#definition = definition;
@@ -76,10 +77,11 @@
 			requestTimeout: definition.slowSenderMilliseconds,
 			connectionsCheckingInterval: Math.min(1000, definition.slowSenderMilliseconds),
 		}, (request, response) => {
+			this.#arrivals += 1;
 			this.#handle(request, response);
 		});
 		this.#server.on('connection', () => {
-			this.#takenConnections += 1;
+			this.#arrivals += 1;
 		});
 		this.#server.on('clientError', sendClientError);
 		definition.core.handle({
@@ -116,17 +118,19 @@
 
 	/**
 	 * Takes no new connections; open requests are finished, and their connections closed after the answer. What has
-	 * arrived by now is read first: one turn of the event loop takes one connection, the next one reads its request.
+	 * arrived by now is read first: one turn of the event loop takes one connection, a later one reads its request. So
+	 * turns are waited for, until one was short and brought nothing; at most until the given time of the steady clock,
+	 * since callers may come without end.
 	 */
-	async stopListening(): Promise<void> {
+	async stopListening(until: number): Promise<void> {
 		this.#isStopping = true;
-		const until = performance.now() + lastLookMilliseconds;
-		let taken: number;
+		let isQuiet = false;
 		do {
-			taken = this.#takenConnections;
-			await nextTurn(); // eslint-disable-line no-await-in-loop
-			await nextTurn(); // eslint-disable-line no-await-in-loop
-		} while (taken !== this.#takenConnections && performance.now() < until);
+			const arrivals = this.#arrivals;
+			const startedAt = performance.now();
+			await waitForTurn(); // eslint-disable-line no-await-in-loop
+			isQuiet = arrivals === this.#arrivals && performance.now() - startedAt <= quietMilliseconds;
+		} while (!isQuiet && performance.now() < until);
 
 		this.#server.close();
 		this.#server.closeIdleConnections();
@@ -255,6 +259,12 @@
 	}
 }
 
+/** Waits until the event loop has looked at all connections once. */
+async function waitForTurn(): Promise<void> {
+	await nextTurn();
+	await nextTurn();
+}
+
 function headerBytesOf(request: IncomingMessage, url: string): number {
 	return request.rawHeaders.reduce((sum, text) => sum + text.length, url.length + (request.rawHeaders.length / 2 * bytesAroundHeader));
 }
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -34,6 +34,8 @@
 const gaugeMilliseconds = 1000;
 const linkWatchMilliseconds = 200;
 const stopPollMilliseconds = 20;
+/** Share of the time left for a stop in which connections that still come are taken; the rest is for their answers. */
+const takingShare = 0.5;
 const farewellMilliseconds = 600;
 /** Longest wait for the store to take the lease back, which ends by itself otherwise; the platform ends a slow stop. */
 const closeMilliseconds = 400;
@@ -189,7 +191,7 @@
 		own.stopping();
 		callersServer.closeAfterAnswers();
 		await delay(settings.lingerMilliseconds);
-		await callersServer.stopListening();
+		await callersServer.stopListening(clock() + ((until - clock()) * takingShare));
 		while (!(core.core.mayStop && callersServer.openCount === 0) && clock() < until) {
 			await delay(stopPollMilliseconds); // eslint-disable-line no-await-in-loop
 		}
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -70,6 +70,17 @@
 
 const requestsOf = (messages: readonly CoreMessage[]): CallerRequest[] => messages.flatMap(message => message.type === CoreMessageType.CallerRequested ? [message.request] : []);
 
+/** Length of a turn of the event loop of a busy node. */
+const turnMilliseconds = 8;
+
+/** Keeps the event loop from going on, as a busy machine does. */
+function standStill(milliseconds: number): void {
+	const until = performance.now() + milliseconds;
+	while (performance.now() < until) {
+		// Nothing else runs.
+	}
+}
+
 /** Waits until so many requests have come. */
 async function untilRequested(told: EventTarget, messages: readonly CoreMessage[], count: number): Promise<void> {
 	while (requestsOf(messages).length < count) {
@@ -161,11 +172,55 @@
 		return socket;
 	});
 	kept.write(ask('later'));
-	await server.stopListening();
+	await server.stopListening(performance.now() + 10_000);
 	const texts = await Promise.all([kept, ...fresh].map(async socket => readUntil(socket, ';')));
 	t.same(texts.map(text => /body of \w+;/u.exec(text)?.[0]), ['body of later;', ...fresh.map((_, index) => `body of fresh${index};`)]);
 });
 
+test('a node that stops in a burst takes all connections that wait, however long its turns are', async t => {
+	const {server, messages, told, answer, open} = await start(t);
+	told.addEventListener(CoreMessageType.CallerRequested, () => {
+		standStill(turnMilliseconds);
+		const {entryId, requestId} = requestsOf(messages).at(-1)!;
+		queueMicrotask(() => {
+			answer(entryId, `body of ${requestId};`);
+		});
+	});
+	const waiting = Array.from({length: 90}, (_, index) => {
+		const socket = open();
+		socket.write(`GET / HTTP/1.1\r\nhost: h\r\nx-id: waiting${index}\r\n\r\n`);
+		return socket;
+	});
+	await server.stopListening(performance.now() + 10_000);
+	const texts = await Promise.all(waiting.map(async socket => readUntil(socket, ';').catch(String)));
+	t.same(texts.map(text => /body of \w+;/u.exec(text)?.[0] ?? text), waiting.map((_, index) => `body of waiting${index};`));
+});
+
+test('a stop ends at its bound though new connections never cease', async t => {
+	const {server, messages, told, answer, open} = await start(t);
+	let isOver = false;
+	const ask = (): void => {
+		const socket = open();
+		socket.write('GET / HTTP/1.1\r\nhost: h\r\n\r\n');
+	};
+
+	told.addEventListener(CoreMessageType.CallerRequested, () => {
+		standStill(turnMilliseconds);
+		answer(requestsOf(messages).at(-1)!.entryId, 'body');
+		if (!isOver) {
+			ask();
+			ask();
+		}
+	});
+	ask();
+	await untilRequested(told, messages, 1);
+	const startedAt = performance.now();
+	await server.stopListening(startedAt + 300);
+	isOver = true;
+	const milliseconds = performance.now() - startedAt;
+	t.ok(milliseconds >= 300 && milliseconds < 2000, `took ${milliseconds} ms`);
+});
+
 test('a body comes whole and unchanged, whether its length is given or it is sent in chunks', async t => {
 	const {messages, told, connect} = await start(t);
 	const socket = await connect();
