Read a silent connection once more before its idle time ends it

A kept connection was reset though its request had come long before: a node that stood still (frozen, or on a busy machine) past the idle time runs its timers before it looks at its connections, and the runtime destroyed the connection with the request unread.

The node now lets the event loop look at the connection first, and closes it only if nothing came. The test stands still past the idle time while a request lies in the connection; it got ECONNRESET before and is answered now; a connection that stays silent is still closed.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -8,6 +8,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
@@ -83,6 +84,9 @@
 		this.#server.on('connection', () => {
 			this.#arrivals += 1;
 		});
+		this.#server.on('timeout', (socket: Socket) => {
+			void closeIfSilent(socket);
+		});
 		this.#server.on('clientError', sendClientError);
 		definition.core.handle({
 			[NodeEffectType.AnswerCaller]: ({entryId, answer}) => {
@@ -265,6 +269,15 @@
 	await nextTurn();
 }
 
+/** Timers come before what waits at the connections: a node that stood still reads first what came in that time. */
+async function closeIfSilent(socket: Socket): Promise<void> {
+	const {bytesRead} = socket;
+	await waitForTurn();
+	if (socket.bytesRead === bytesRead) {
+		socket.destroy();
+	}
+}
+
 function headerBytesOf(request: IncomingMessage, url: string): number {
 	return request.rawHeaders.reduce((sum, text) => sum + text.length, url.length + (request.rawHeaders.length / 2 * bytesAroundHeader));
 }
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -73,6 +73,10 @@
 /** Length of a turn of the event loop of a busy node. */
 const turnMilliseconds = 8;
 
+/** Idle time that the tests set, and the time that the runtime adds to it. */
+const idleMilliseconds = 100;
+const longestIdleMilliseconds = idleMilliseconds + 1000;
+
 /** Keeps the event loop from going on, as a busy machine does. */
 function standStill(milliseconds: number): void {
 	const until = performance.now() + milliseconds;
@@ -221,6 +225,30 @@
 	t.ok(milliseconds >= 300 && milliseconds < 2000, `took ${milliseconds} ms`);
 });
 
+test('a node that stood still past the idle time of a connection answers what came on it in that time', async t => {
+	const {server, messages, told, answer, connect} = await start(t);
+	server.setLimits({idleMilliseconds});
+	told.addEventListener(CoreMessageType.CallerRequested, () => {
+		const {entryId, requestId} = requestsOf(messages).at(-1)!;
+		queueMicrotask(() => {
+			answer(entryId, `body of ${requestId};`);
+		});
+	});
+	const ask = (name: string): string => `GET / HTTP/1.1\r\nhost: h\r\nx-id: ${name}\r\n\r\n`;
+	const [kept, silentOne] = [await connect(), await connect()];
+	const texts: string[] = [];
+	kept.on('data', chunk => texts.push(String(chunk)));
+	silentOne.resume();
+	silentOne.write(ask('other'));
+	kept.write(ask('earlier'));
+	await Promise.all([once(kept, 'data'), once(silentOne, 'data')]);
+	kept.write(ask('later'));
+	standStill(longestIdleMilliseconds + 400);
+	await Promise.race([once(kept, 'close'), untilRequested(told, messages, 3)]);
+	await Promise.all([once(kept, 'close'), once(silentOne, 'close')]);
+	t.same(texts.join('').match(/body of \w+;/gu), ['body of earlier;', 'body of later;']);
+});
+
 test('a body comes whole and unchanged, whether its length is given or it is sent in chunks', async t => {
 	const {messages, told, connect} = await start(t);
 	const socket = await connect();
