Look at deadlines only after what has arrived was read

After a standstill of a node (frozen, or on a busy machine) callers were told 504 with the fate unknown, though the upstream's answer lay in the connection: the event loop runs its timers first, so the tick found the deadline passed and cancelled the call before the answer was read. The same order let signs of life of links and members be judged unread.

The tick now runs after the event loop has looked at the connections. The test lets the upstream answer while the node's thread stands still past the deadline: 504 timed-out before, 200 now, three of three times.

--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -150,8 +150,13 @@
 	const controlCalls = settings.controlCalls ? await startControlCalls(settings, core, clock) : undefined;
 	store.start();
 	let [watchedAt, gaugedAt] = [clock(), clock()];
+	let isClosed = false;
 	// One timer for all: each wake-up of an idle process has a price of its own.
 	const tick = (): void => {
+		if (isClosed) {
+			return;
+		}
+
 		const now = clock();
 		core.post({type: CoreMessageType.Tick});
 		if (now - watchedAt >= linkWatchMilliseconds) {
@@ -166,11 +171,17 @@
 			controlCalls?.closeIdle();
 		}
 
-		ticks = setTimeout(tick, core.core.openCalls > 0 ? busyTickMilliseconds : idleTickMilliseconds);
+		ticks = setTimeout(readFirst, core.core.openCalls > 0 ? busyTickMilliseconds : idleTickMilliseconds);
+	};
+
+	// Timers come before what waits at the connections: after a standstill, answers are read before deadlines are looked at.
+	const readFirst = (): void => {
+		setImmediate(tick);
 	};
 
-	let ticks = setTimeout(tick, idleTickMilliseconds);
+	let ticks = setTimeout(readFirst, idleTickMilliseconds);
 	const close = async (): Promise<void> => {
+		isClosed = true;
 		clearTimeout(ticks);
 		callersServer.close();
 		peersServer.close();
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -11,7 +11,7 @@
 	CoreMessageType, type CoreMessage, type CoreTask, type EffectHandlers,
 } from '../core-task.js';
 import type {OwnInterface} from '../own-interface.js';
-import {silent} from './fixtures.js';
+import {silent, standStill} from './fixtures.js';
 
 type AnswerCaller = Extract<NodeEffect, {type: NodeEffectType.AnswerCaller}>;
 
@@ -77,14 +77,6 @@
 const idleMilliseconds = 100;
 const longestIdleMilliseconds = idleMilliseconds + 1000;
 
-/** Keeps the event loop from going on, as a busy machine does. */
-function standStill(milliseconds: number): void {
-	const until = performance.now() + milliseconds;
-	while (performance.now() < until) {
-		// Nothing else runs.
-	}
-}
-
 /** Waits until so many requests have come. */
 async function untilRequested(told: EventTarget, messages: readonly CoreMessage[], count: number): Promise<void> {
 	while (requestsOf(messages).length < count) {
--- a/packages/node/src/tests/fixtures.ts
+++ b/packages/node/src/tests/fixtures.ts
@@ -11,3 +11,11 @@
 export const silentLog: PartLog = {
 	error: silent, warn: silent, info: silent, debug: silent,
 };
+
+/** Keeps the event loop from going on, as a busy machine does. */
+export function standStill(milliseconds: number): void {
+	const until = performance.now() + milliseconds;
+	while (performance.now() < until) {
+		// Nothing else runs.
+	}
+}
--- /dev/null
+++ b/packages/node/src/tests/standstill.test.ts
@@ -0,0 +1,60 @@
+import {once} from 'node:events';
+import {Worker} from 'node:worker_threads';
+import {AnnouncedState} from '@laburnumspool/core';
+import {findFreePorts} from '@laburnumspool/standin-loopback';
+import {test} from 'tap';
+import {request} from 'undici';
+import {CoreMessageType} from '../core-task.js';
+import {checkSettings, ownDeployment, startDaemon} from '../index.js';
+import {silentLog, standStill} from './fixtures.js';
+
+const standstillMilliseconds = 900;
+
+const manifest = `
+name: shop
+retriesPerAction: 0
+rememberForSeconds: 600
+retryShare: 0.1
+services:
+  shop:
+    requests:
+      - {kind: look, methods: [GET], path: /items*, importance: normal, semantics: idempotent, waitMilliseconds: 500}
+`;
+
+/** Answers only while the other thread stands still. */
+const upstreamProgram = `
+const {createServer} = require('node:http');
+const {parentPort, workerData} = require('node:worker_threads');
+const server = createServer((request, response) => {
+	parentPort.postMessage('requested');
+	Atomics.wait(workerData, 0, 0);
+	response.end('answered');
+}).listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
+`;
+
+test('a node that stood still past the deadline of a call passes on the answer that came in that time', async t => {
+	const [callers, peers, control, store] = await findFreePorts(4);
+	const daemon = await startDaemon(checkSettings({
+		name: 'n', region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers, peers, control}, store: {url: `http://127.0.0.1:${store}`}, stopSeconds: 1,
+	}), () => silentLog);
+	const isStanding = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+	const upstream = new Worker(upstreamProgram, {eval: true, workerData: isStanding});
+	t.teardown(async () => {
+		await upstream.terminate();
+		await daemon.stop();
+	});
+	const [port] = await once(upstream, 'message') as [number];
+	daemon.core.post({type: CoreMessageType.ManifestArrived, revision: ownDeployment.toRevision(1, manifest)});
+	daemon.core.post({
+		type: CoreMessageType.Announced, announcement: {
+			service: 'shop', address: `127.0.0.1:${port}`, slots: 4, connections: 4, state: AnnouncedState.Ready, load: undefined,
+		},
+	});
+	const asked = request(`http://127.0.0.1:${callers}/shop/items`);
+	await once(upstream, 'message');
+	Atomics.store(isStanding, 0, 1);
+	Atomics.notify(isStanding, 0);
+	standStill(standstillMilliseconds);
+	const {statusCode, body} = await asked;
+	t.same([statusCode, await body.text()], [200, 'answered']);
+});
