--- a/demo/src/soak.ts
+++ b/demo/src/soak.ts
@@ -41,6 +41,7 @@
 const settings = {
 	clockErrorMilliseconds: 100,
 	lingerMilliseconds: 500,
+	logFormat: 'json',
 	membership: {probeMilliseconds: 200, suspicionMilliseconds: 600},
 	headers: {requestId: 'x-request-id', signature: 'x-signature'},
 };
