Count the callers' patience in a soak from their connection on

"Every request that was read is answered" called requests lost that had timed out after 8 s on new connections, with a node at work all the time. They had waited for one of the caller's 64 connections; the node had them for 0.9 to 3.4 s, and a payment may take 3 s.

The 8 s now begin when a request has its connection, its setting up included, so a node has no more time than before and the callers' own queue no longer counts.

--- a/demo/src/soak-clients.ts
+++ b/demo/src/soak-clients.ts
@@ -48,6 +48,7 @@
 };
 
 const callerMilliseconds = 8000;
+const callerConnections = 64;
 const noAnswer = {
 	status: undefined, outcome: undefined, signature: undefined, answeredId: undefined, body: '',
 };
@@ -64,10 +65,13 @@
 	readonly #entry: string;
 	readonly #host: string;
 	readonly #port: string;
-	readonly #agent = new Agent({keepAlive: true, maxSockets: 64});
+	readonly #agent: Agent;
+	readonly #milliseconds: number;
 
-	constructor(entry: string, address: string) {
+	constructor(entry: string, address: string, {milliseconds = callerMilliseconds, connections = callerConnections} = {}) {
 		this.#entry = entry;
+		this.#milliseconds = milliseconds;
+		this.#agent = new Agent({keepAlive: true, maxSockets: connections});
 		[this.#host = '', this.#port = ''] = address.split(':');
 	}
 
@@ -106,9 +110,13 @@
 				end({...noAnswer, failure: error.code ?? error.message});
 			};
 
-			const timer = setTimeout(() => {
-				request.destroy(new Error('timed out'));
-			}, callerMilliseconds);
+			// The node has its time from when the request has a connection; before that it waits for other callers here.
+			let timer: NodeJS.Timeout | undefined;
+			request.once('socket', () => {
+				timer = setTimeout(() => {
+					request.destroy(new Error('timed out'));
+				}, this.#milliseconds);
+			});
 			request.once('finish', () => {
 				writtenAt = performance.now();
 			});
