Say in a refusal how long the call waited

A soak's trace of a payment refused late could not tell whether it had waited at the refusing node or on its way: the detail said only that it was refused before dispatch. It now says after how many milliseconds there. The test failed before, for want of the time.

--- a/packages/core/src/serving/serving.ts
+++ b/packages/core/src/serving/serving.ts
@@ -239,7 +239,7 @@
 	}
 
 	#refusedByGuard(call: ServedCall, reason: ErrorKind, now: number): ServingEffect[] {
-		const error = {kind: reason, detail: `${call.frame.service} refused ${call.frame.kind} before dispatch`};
+		const error = {kind: reason, detail: `${call.frame.service} refused ${call.frame.kind} before dispatch, after ${Math.round(now - call.arrivedAt)} ms`};
 		const onceCall = toOnceCall(call);
 		return onceCall === undefined
 			? this.#refuse(call, error, false, now)
--- a/packages/core/src/tests/serving.test.ts
+++ b/packages/core/src/tests/serving.test.ts
@@ -51,3 +51,14 @@
 	serving.upstreamAnswered('n.1.1', {status: 200, headers: [], body: Buffer.alloc(0)}, 30);
 	t.ok(guard.isIdle, 'the slot is free');
 });
+
+test('a refusal says how long the call waited for its slot, which its caller cannot know', async t => {
+	const {serving} = createServing();
+	const unkeyed = (number: number): CallFrame => ({
+		...frame(number), key: undefined, semantics: Semantics.Idempotent, importance: Importance.Normal,
+	});
+	serving.receive(unkeyed(1), 0);
+	t.same(dispatched(serving.receive(unkeyed(2), 1)), [], 'waits for the slot');
+	const details = serving.stopAccepting(9).flatMap(effect => effect.type === ServingEffectType.Answer ? [effect.frame.error?.detail] : []);
+	t.same(details, ['s refused pay before dispatch, after 8 ms']);
+});
