Close the listener before silent connections at a planned stop

The runtime's close destroys the silent connections first and the listener after them; callers whose connection is closed connect anew at once, into a queue that is then thrown away.

The listener alone is closed first, now right after a turn of at most 1 ms that brought nothing; the node looks once more before it closes silent connections. In the test a caller connects while these are being closed: it was connected and cut off before, and is refused now.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -8,7 +8,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
@@ -28,8 +28,8 @@
 
 /** What stands around each header: colon, space and line end. */
 const bytesAroundHeader = 4;
-/** Longest turn of the event loop after which a look at the connections still holds. */
-const quietMilliseconds = 5;
+/** Longest turn of the event loop after which a look at the connections still holds; one that does nothing takes far less. */
+const quietMilliseconds = 1;
 const answerHeaders: ReadonlySet<string> = new Set([HeaderName.Outcome, HeaderName.Attempts]);
 
 export type CallersServerDefinition = {
@@ -128,6 +128,19 @@
 	 */
 	async stopListening(until: number): Promise<void> {
 		this.#isStopping = true;
+		await this.#untilQuiet(until);
+		// The runtime's own way would close silent connections first, and reset what comes to the listener meanwhile.
+		NetServer.prototype.close.call(this.#server);
+		await this.#untilQuiet(until);
+		this.#server.closeIdleConnections();
+	}
+
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #untilQuiet(until: number): Promise<void> {
 		let isQuiet = false;
 		do {
 			const arrivals = this.#arrivals;
@@ -135,14 +148,6 @@
 			await waitForTurn(); // eslint-disable-line no-await-in-loop
 			isQuiet = arrivals === this.#arrivals && performance.now() - startedAt <= quietMilliseconds;
 		} while (!isQuiet && performance.now() < until);
-
-		this.#server.close();
-		this.#server.closeIdleConnections();
-	}
-
-	close(): void {
-		this.#server.close();
-		this.#server.closeAllConnections();
 	}
 
 	#handle(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
+import {Server} from 'node:http';
 import {createConnection, type Socket} from 'node:net';
+import {Worker} from 'node:worker_threads';
 import {
 	NodeEffectType, Outcome, type CallerRequest, type NodeEffect,
 } from '@laburnumspool/core';
@@ -17,7 +19,7 @@
 
 /** A server before a core that only notes what it is told, and answers when the test says so. */
 async function start(t: Test, slowSenderMilliseconds = 5000): Promise<{
-	server: CallersServer; messages: CoreMessage[]; told: EventTarget; answer: (entryId: number, body: string | Buffer) => void; connect: () => Promise<Socket>; open: () => Socket;
+	server: CallersServer; port: number; messages: CoreMessage[]; told: EventTarget; answer: (entryId: number, body: string | Buffer) => void; connect: () => Promise<Socket>; open: () => Socket;
 }> {
 	const messages: CoreMessage[] = [];
 	const told = new EventTarget();
@@ -49,6 +51,7 @@
 
 	return {
 		server,
+		port: port!,
 		messages,
 		told,
 		open,
@@ -192,6 +195,39 @@
 	t.same(texts.map(text => /body of \w+;/u.exec(text)?.[0] ?? text), waiting.map((_, index) => `body of waiting${index};`));
 });
 
+/** Connects when it is told to, and tells what came of it. */
+const callerProgram = `
+const {createConnection} = require('node:net');
+const {workerData: {port, shared}} = require('node:worker_threads');
+Atomics.wait(shared, 0, 0);
+const end = result => {
+	Atomics.store(shared, 1, result);
+	Atomics.notify(shared, 1);
+};
+createConnection(port, '127.0.0.1').once('connect', () => end(1)).once('error', () => end(2));
+`;
+
+test('a node that stops listening resets no caller that connects while it closes silent connections', async t => {
+	const {server, port} = await start(t);
+	const shared = new Int32Array(new SharedArrayBuffer(2 * Int32Array.BYTES_PER_ELEMENT));
+	const caller = new Worker(callerProgram, {eval: true, workerData: {port, shared}});
+	await once(caller, 'online');
+	const {closeIdleConnections} = Server.prototype;
+	t.teardown(async () => {
+		Server.prototype.closeIdleConnections = closeIdleConnections;
+		await caller.terminate();
+	});
+	Server.prototype.closeIdleConnections = function () {
+		Atomics.store(shared, 0, 1);
+		Atomics.notify(shared, 0);
+		Atomics.wait(shared, 1, 0, 5000);
+		Reflect.apply(closeIdleConnections, this, []);
+	};
+
+	await server.stopListening(performance.now() + 10_000);
+	t.equal(shared[1], 2, 'it was refused, and can go elsewhere');
+});
+
 test('a stop ends at its bound though new connections never cease', async t => {
 	const {server, messages, told, answer, open} = await start(t);
 	let isOver = false;
