Tell kept connections from new ones in a soak

The client library marks a connection as reused only if it was idle before; one that a waiting request gets at once counted as new. A soak's callers wait in bursts, so most kept connections were called new, and the check judged a close that crosses a request on them as a reset of a new connection, and other requests by the wrong rule the other way.

The callers now remember the connections that have carried a request. The test read [false, false, false] for three requests on one connection before, and reads [false, true, true].

--- a/demo/src/soak-clients.ts
+++ b/demo/src/soak-clients.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {Agent, request as sendRequest, type IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 import type {SoakKind} from './soak-kinds.js';
 
 /** When in a soak a request is sent. */
@@ -66,6 +67,8 @@
 	readonly #host: string;
 	readonly #port: string;
 	readonly #agent: Agent;
+	/** Connections that have carried a request. */
+	readonly #used = new WeakSet<Socket>();
 	readonly #milliseconds: number;
 
 	constructor(entry: string, address: string, {milliseconds = callerMilliseconds, connections = callerConnections} = {}) {
@@ -93,6 +96,7 @@
 	async #exchange(id: string, {service, method, path, isKeyed}: SoakKind): Promise<SoakAnswer & Pick<SoakResult, 'writtenAt' | 'isReused'>> {
 		return new Promise(resolve => {
 			let writtenAt: number | undefined;
+			let isReused = false;
 			const request = sendRequest({
 				host: this.#host,
 				port: this.#port,
@@ -103,7 +107,7 @@
 			});
 			const end = (answer: SoakAnswer): void => {
 				clearTimeout(timer);
-				resolve({...answer, writtenAt, isReused: request.reusedSocket});
+				resolve({...answer, writtenAt, isReused});
 			};
 
 			const fail = (error: NodeJS.ErrnoException): void => {
@@ -112,7 +116,9 @@
 
 			// The node has its time from when the request has a connection; before that it waits for other callers here.
 			let timer: NodeJS.Timeout | undefined;
-			request.once('socket', () => {
+			request.once('socket', socket => {
+				isReused = this.#used.has(socket);
+				this.#used.add(socket);
 				timer = setTimeout(() => {
 					request.destroy(new Error('timed out'));
 				}, this.#milliseconds);
--- a/demo/src/tests/soak-clients.test.ts
+++ b/demo/src/tests/soak-clients.test.ts
@@ -38,3 +38,9 @@
 	t.same(results.map(({failure}) => failure), ['timed out', 'timed out']);
 	t.ok(performance.now() - startedAt >= milliseconds * 2 * 0.99);
 });
+
+test('a kept connection that a waiting request gets is not taken for a new one', async t => {
+	const callers = await start(t, response => response.end('answered'));
+	const results = await Promise.all(['a', 'b', 'c'].map(async id => callers.send(id, receipt, SoakPhase.Trouble)));
+	t.same(results.map(({isReused}) => isReused), [false, true, true]);
+});
