Bound a planned stop in a soak below the kill

The nodes of a soak had the standard bound of 60 s on a stop, and are killed after 10 s. The bound is 8 s now, so the node itself ends its stop, or reports that it could not; no check changes.

--- a/demo/src/soak.ts
+++ b/demo/src/soak.ts
@@ -42,6 +42,8 @@
 	clockErrorMilliseconds: 100,
 	lingerMilliseconds: 500,
 	logFormat: 'json',
+	// Below the time after which a process is killed that does not end.
+	stopSeconds: 8,
 	membership: {probeMilliseconds: 200, suspicionMilliseconds: 600},
 	headers: {requestId: 'x-request-id', signature: 'x-signature'},
 };
