--- a/demo/src/soak-clients.ts
+++ b/demo/src/soak-clients.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {Agent, request as sendRequest, type IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 import type {SoakKind} from './soak-kinds.js';
 
 /** When in a soak a request is sent. */
@@ -48,6 +49,7 @@
 };
 
 const callerMilliseconds = 8000;
+const callerConnections = 64;
 const noAnswer = {
 	status: undefined, outcome: undefined, signature: undefined, answeredId: undefined, body: '',
 };
@@ -64,10 +66,15 @@
 	readonly #entry: string;
 	readonly #host: string;
 	readonly #port: string;
-	readonly #agent = new Agent({keepAlive: true, maxSockets: 64});
+	readonly #agent: Agent;
+	/** Connections that have carried a request. */
+	readonly #used = new WeakSet<Socket>();
+	readonly #milliseconds: number;
 
-	constructor(entry: string, address: string) {
+	constructor(entry: string, address: string, {milliseconds = callerMilliseconds, connections = callerConnections} = {}) {
 		this.#entry = entry;
+		this.#milliseconds = milliseconds;
+		this.#agent = new Agent({keepAlive: true, maxSockets: connections});
 		[this.#host = '', this.#port = ''] = address.split(':');
 	}
 
@@ -89,6 +96,7 @@
 	async #exchange(id: string, {service, method, path, isKeyed}: SoakKind): Promise<SoakAnswer & Pick<SoakResult, 'writtenAt' | 'isReused'>> {
 		return new Promise(resolve => {
 			let writtenAt: number | undefined;
+			let isReused = false;
 			const request = sendRequest({
 				host: this.#host,
 				port: this.#port,
@@ -99,16 +107,22 @@
 			});
 			const end = (answer: SoakAnswer): void => {
 				clearTimeout(timer);
-				resolve({...answer, writtenAt, isReused: request.reusedSocket});
+				resolve({...answer, writtenAt, isReused});
 			};
 
 			const fail = (error: NodeJS.ErrnoException): void => {
 				end({...noAnswer, failure: error.code ?? error.message});
 			};
 
-			const timer = setTimeout(() => {
-				request.destroy(new Error('timed out'));
-			}, callerMilliseconds);
+			// The node has its time from when the request has a connection; before that it waits for other callers here.
+			let timer: NodeJS.Timeout | undefined;
+			request.once('socket', socket => {
+				isReused = this.#used.has(socket);
+				this.#used.add(socket);
+				timer = setTimeout(() => {
+					request.destroy(new Error('timed out'));
+				}, this.#milliseconds);
+			});
 			request.once('finish', () => {
 				writtenAt = performance.now();
 			});
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -34,6 +34,8 @@
 const gaugeMilliseconds = 1000;
 const linkWatchMilliseconds = 200;
 const stopPollMilliseconds = 20;
+/** Share of the time left for a stop in which connections that still come are taken; the rest is for their answers. */
+const takingShare = 0.5;
 const farewellMilliseconds = 600;
 /** Longest wait for the store to take the lease back, which ends by itself otherwise; the platform ends a slow stop. */
 const closeMilliseconds = 400;
@@ -148,8 +150,13 @@
 	const controlCalls = settings.controlCalls ? await startControlCalls(settings, core, clock) : undefined;
 	store.start();
 	let [watchedAt, gaugedAt] = [clock(), clock()];
+	let isClosed = false;
 	// One timer for all: each wake-up of an idle process has a price of its own.
 	const tick = (): void => {
+		if (isClosed) {
+			return;
+		}
+
 		const now = clock();
 		core.post({type: CoreMessageType.Tick});
 		if (now - watchedAt >= linkWatchMilliseconds) {
@@ -164,11 +171,17 @@
 			controlCalls?.closeIdle();
 		}
 
-		ticks = setTimeout(tick, core.core.openCalls > 0 ? busyTickMilliseconds : idleTickMilliseconds);
+		ticks = setTimeout(readFirst, core.core.openCalls > 0 ? busyTickMilliseconds : idleTickMilliseconds);
+	};
+
+	// Timers come before what waits at the connections: after a standstill, answers are read before deadlines are looked at.
+	const readFirst = (): void => {
+		setImmediate(tick);
 	};
 
-	let ticks = setTimeout(tick, idleTickMilliseconds);
+	let ticks = setTimeout(readFirst, idleTickMilliseconds);
 	const close = async (): Promise<void> => {
+		isClosed = true;
 		clearTimeout(ticks);
 		callersServer.close();
 		peersServer.close();
@@ -189,7 +202,7 @@
 		own.stopping();
 		callersServer.closeAfterAnswers();
 		await delay(settings.lingerMilliseconds);
-		await callersServer.stopListening();
+		await callersServer.stopListening(clock() + ((until - clock()) * takingShare));
 		while (!(core.core.mayStop && callersServer.openCount === 0) && clock() < until) {
 			await delay(stopPollMilliseconds); // eslint-disable-line no-await-in-loop
 		}
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
+import {Server} from 'node:http';
 import {createConnection, type Socket} from 'node:net';
+import {Worker} from 'node:worker_threads';
 import {
 	NodeEffectType, Outcome, type CallerRequest, type NodeEffect,
 } from '@laburnumspool/core';
@@ -11,13 +13,13 @@
 	CoreMessageType, type CoreMessage, type CoreTask, type EffectHandlers,
 } from '../core-task.js';
 import type {OwnInterface} from '../own-interface.js';
-import {silent} from './fixtures.js';
+import {silent, standStill} from './fixtures.js';
 
 type AnswerCaller = Extract<NodeEffect, {type: NodeEffectType.AnswerCaller}>;
 
 /** A server before a core that only notes what it is told, and answers when the test says so. */
 async function start(t: Test, slowSenderMilliseconds = 5000): Promise<{
-	server: CallersServer; messages: CoreMessage[]; told: EventTarget; answer: (entryId: number, body: string | Buffer) => void; connect: () => Promise<Socket>; open: () => Socket;
+	server: CallersServer; port: number; messages: CoreMessage[]; told: EventTarget; answer: (entryId: number, body: string | Buffer) => void; connect: () => Promise<Socket>; open: () => Socket;
 }> {
 	const messages: CoreMessage[] = [];
 	const told = new EventTarget();
@@ -49,6 +51,7 @@
 
 	return {
 		server,
+		port: port!,
 		messages,
 		told,
 		open,
@@ -70,6 +73,13 @@
 
 const requestsOf = (messages: readonly CoreMessage[]): CallerRequest[] => messages.flatMap(message => message.type === CoreMessageType.CallerRequested ? [message.request] : []);
 
+/** Length of a turn of the event loop of a busy node. */
+const turnMilliseconds = 8;
+
+/** Idle time that the tests set, and the time that the runtime adds to it. */
+const idleMilliseconds = 100;
+const longestIdleMilliseconds = idleMilliseconds + 1000;
+
 /** Waits until so many requests have come. */
 async function untilRequested(told: EventTarget, messages: readonly CoreMessage[], count: number): Promise<void> {
 	while (requestsOf(messages).length < count) {
@@ -161,11 +171,112 @@
 		return socket;
 	});
 	kept.write(ask('later'));
-	await server.stopListening();
+	await server.stopListening(performance.now() + 10_000);
 	const texts = await Promise.all([kept, ...fresh].map(async socket => readUntil(socket, ';')));
 	t.same(texts.map(text => /body of \w+;/u.exec(text)?.[0]), ['body of later;', ...fresh.map((_, index) => `body of fresh${index};`)]);
 });
 
+test('a node that stops in a burst takes all connections that wait, however long its turns are', async t => {
+	const {server, messages, told, answer, open} = await start(t);
+	told.addEventListener(CoreMessageType.CallerRequested, () => {
+		standStill(turnMilliseconds);
+		const {entryId, requestId} = requestsOf(messages).at(-1)!;
+		queueMicrotask(() => {
+			answer(entryId, `body of ${requestId};`);
+		});
+	});
+	const waiting = Array.from({length: 90}, (_, index) => {
+		const socket = open();
+		socket.write(`GET / HTTP/1.1\r\nhost: h\r\nx-id: waiting${index}\r\n\r\n`);
+		return socket;
+	});
+	await server.stopListening(performance.now() + 10_000);
+	const texts = await Promise.all(waiting.map(async socket => readUntil(socket, ';').catch(String)));
+	t.same(texts.map(text => /body of \w+;/u.exec(text)?.[0] ?? text), waiting.map((_, index) => `body of waiting${index};`));
+});
+
+/** Connects when it is told to, and tells what came of it. */
+const callerProgram = `
+const {createConnection} = require('node:net');
+const {workerData: {port, shared}} = require('node:worker_threads');
+Atomics.wait(shared, 0, 0);
+const end = result => {
+	Atomics.store(shared, 1, result);
+	Atomics.notify(shared, 1);
+};
+createConnection(port, '127.0.0.1').once('connect', () => end(1)).once('error', () => end(2));
+`;
+
+test('a node that stops listening resets no caller that connects while it closes silent connections', async t => {
+	const {server, port} = await start(t);
+	const shared = new Int32Array(new SharedArrayBuffer(2 * Int32Array.BYTES_PER_ELEMENT));
+	const caller = new Worker(callerProgram, {eval: true, workerData: {port, shared}});
+	await once(caller, 'online');
+	const {closeIdleConnections} = Server.prototype;
+	t.teardown(async () => {
+		Server.prototype.closeIdleConnections = closeIdleConnections;
+		await caller.terminate();
+	});
+	Server.prototype.closeIdleConnections = function () {
+		Atomics.store(shared, 0, 1);
+		Atomics.notify(shared, 0);
+		Atomics.wait(shared, 1, 0, 5000);
+		Reflect.apply(closeIdleConnections, this, []);
+	};
+
+	await server.stopListening(performance.now() + 10_000);
+	t.equal(shared[1], 2, 'it was refused, and can go elsewhere');
+});
+
+test('a stop ends at its bound though new connections never cease', async t => {
+	const {server, messages, told, answer, open} = await start(t);
+	let isOver = false;
+	const ask = (): void => {
+		const socket = open();
+		socket.write('GET / HTTP/1.1\r\nhost: h\r\n\r\n');
+	};
+
+	told.addEventListener(CoreMessageType.CallerRequested, () => {
+		standStill(turnMilliseconds);
+		answer(requestsOf(messages).at(-1)!.entryId, 'body');
+		if (!isOver) {
+			ask();
+			ask();
+		}
+	});
+	ask();
+	await untilRequested(told, messages, 1);
+	const startedAt = performance.now();
+	await server.stopListening(startedAt + 300);
+	isOver = true;
+	const milliseconds = performance.now() - startedAt;
+	t.ok(milliseconds >= 300 && milliseconds < 2000, `took ${milliseconds} ms`);
+});
+
+test('a node that stood still past the idle time of a connection answers what came on it in that time', async t => {
+	const {server, messages, told, answer, connect} = await start(t);
+	server.setLimits({idleMilliseconds});
+	told.addEventListener(CoreMessageType.CallerRequested, () => {
+		const {entryId, requestId} = requestsOf(messages).at(-1)!;
+		queueMicrotask(() => {
+			answer(entryId, `body of ${requestId};`);
+		});
+	});
+	const ask = (name: string): string => `GET / HTTP/1.1\r\nhost: h\r\nx-id: ${name}\r\n\r\n`;
+	const [kept, silentOne] = [await connect(), await connect()];
+	const texts: string[] = [];
+	kept.on('data', chunk => texts.push(String(chunk)));
+	silentOne.resume();
+	silentOne.write(ask('other'));
+	kept.write(ask('earlier'));
+	await Promise.all([once(kept, 'data'), once(silentOne, 'data')]);
+	kept.write(ask('later'));
+	standStill(longestIdleMilliseconds + 400);
+	await Promise.race([once(kept, 'close'), untilRequested(told, messages, 3)]);
+	await Promise.all([once(kept, 'close'), once(silentOne, 'close')]);
+	t.same(texts.join('').match(/body of \w+;/gu), ['body of earlier;', 'body of later;']);
+});
+
 test('a body comes whole and unchanged, whether its length is given or it is sent in chunks', async t => {
 	const {messages, told, connect} = await start(t);
 	const socket = await connect();
