Test that a caller's leaving ends the work of another place

Change: two whole nodes over loopback; a caller sends two requests behind one another to an entry whose peer's upstream has one slot, and closes its connection.

--- /dev/null
+++ b/packages/node/src/tests/cancellation.test.ts
@@ -0,0 +1,80 @@
+import {once} from 'node:events';
+import {createServer, type IncomingMessage} from 'node:http';
+import {createConnection, type AddressInfo} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {AnnouncedState} from '@laburnumspool/core';
+import {findFreePorts} from '@laburnumspool/standin-loopback';
+import {test, type Test} from 'tap';
+import {CoreMessageType} from '../core-task.js';
+import {
+	checkSettings, ownDeployment, startDaemon, type Daemon,
+} from '../index.js';
+import {silent, silentLog} from './fixtures.js';
+
+/** Time after a caller has left in which no upstream works for it any longer. */
+const cancelMilliseconds = 500;
+
+const manifest = `
+name: shop
+retriesPerAction: 0
+rememberForSeconds: 600
+retryShare: 0.1
+services:
+  shop:
+    requests:
+      - {kind: look, methods: [GET], path: /items*, importance: normal, semantics: idempotent, waitMilliseconds: 20000}
+`;
+
+async function startNode(t: Test, name: string): Promise<{daemon: Daemon; callersPort: number}> {
+	const [callers, peers, control, store] = await findFreePorts(4);
+	const daemon = await startDaemon(checkSettings({
+		name, region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers, peers, control}, store: {url: `http://127.0.0.1:${store}`}, stopSeconds: 1,
+	}), () => silentLog);
+	t.teardown(async () => daemon.stop());
+	daemon.core.post({type: CoreMessageType.ManifestArrived, revision: ownDeployment.toRevision(1, manifest)});
+	return {daemon, callersPort: callers!};
+}
+
+test('an upstream in another place stops working soon after the caller has closed its connection', async t => {
+	const requests = new EventTarget();
+	const held: IncomingMessage[] = [];
+	const upstream = createServer(request => {
+		held.push(request.on('error', silent));
+		requests.dispatchEvent(new Event('request'));
+	}).listen(0, '127.0.0.1');
+	await once(upstream, 'listening');
+	const serving = await startNode(t, 'serving');
+	const entry = await startNode(t, 'entry');
+	t.teardown(() => {
+		upstream.closeAllConnections();
+		upstream.close();
+	});
+	serving.daemon.core.post({
+		type: CoreMessageType.Announced, announcement: {
+			service: 'shop', address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`, slots: 1, connections: 1, state: AnnouncedState.Ready, load: undefined,
+		},
+	});
+	const caller = createConnection(entry.callersPort, '127.0.0.1');
+	await once(caller, 'connect');
+	entry.daemon.core.post({type: CoreMessageType.ViewArrived, members: [serving.daemon.core.core.own], rumors: []});
+	const asked = once(requests, 'request');
+	const ask = (path: string): string => `GET /shop/items/${path} HTTP/1.1\r\nhost: h\r\n\r\n`;
+	caller.write(ask('running') + ask('waiting'));
+	await asked;
+
+	const ended = new Promise(resolve => {
+		held[0]!.once('close', resolve);
+	});
+	const leftAt = performance.now();
+	caller.destroy();
+	await ended;
+	const milliseconds = performance.now() - leftAt;
+	t.ok(milliseconds < cancelMilliseconds, `the running request ended after ${Math.round(milliseconds)} ms`);
+
+	const other = createConnection(entry.callersPort, '127.0.0.1');
+	const askedNext = once(requests, 'request');
+	other.write(ask('next'));
+	await askedNext;
+	t.same(held.map(({url}) => url), ['/items/running', '/items/next'], 'the request that waited was never run');
+	other.destroy();
+});
