Count the system calls of a call

The time at rest of that round held the closing of the callers' connections; the tool now waits for their end first.

--- a/benchmarks/src/call-cost.ts
+++ b/benchmarks/src/call-cost.ts
@@ -16,10 +16,15 @@
 import {Agent} from 'undici';
 import {startCostSystem, type Arm, type CostSystem} from './call-cost-system.js';
 import {readCollections, readUsage, type Usage} from './process-usage.js';
+import {countSystemCalls} from './system-calls.js';
 
 const ownNode = join(fileURLToPath(new URL('../../', import.meta.url)), 'packages/node/dist/main.js');
 const settleMilliseconds = 2000;
 
+/** Before system calls are counted: links are made, and connections that are no longer used are closed. */
+const warmUpSeconds = 2;
+const closeMilliseconds = 6000;
+const countedNames = ['epoll_pwait', 'epoll_wait', 'epoll_ctl', 'read', 'write', 'writev', 'futex', 'madvise', 'total'];
 const hardwareCounters = 'instructions,cycles,cache-misses';
 
 /** Figures of one arm in one round, by the name of their column. */
@@ -102,6 +107,28 @@
 	}
 }
 
+/** System calls for each call, those of the time without load taken off; of the most frequent names, and of all. */
+async function measureSystemCalls(arm: Arm, {nodes, rate, seconds}: Options): Promise<Figures> {
+	const system = await startCostSystem(arm, nodes, [], 'SIGKILL');
+	try {
+		await load(system, rate * nodes / 2, warmUpSeconds);
+		await delay(closeMilliseconds);
+		const pids = system.nodes.map(node => node.child.pid!);
+		const restCount = await countSystemCalls(pids);
+		await delay(seconds * 1000);
+		const rest = await restCount.end();
+		const loadCount = await countSystemCalls(pids);
+		const {answered, failed} = await load(system, rate * nodes / 2, seconds);
+		const counts = await loadCount.end();
+		const perCall = (name: string): number => ((counts.get(name) ?? 0) - (rest.get(name) ?? 0)) / answered;
+		return {
+			...Object.fromEntries(countedNames.map(name => [name, perCall(name)])), 'total at rest/s': (rest.get('total') ?? 0) / seconds / nodes, answered, failed,
+		};
+	} finally {
+		await system.stop();
+	}
+}
+
 /** Whether the machine lends hardware counters; where it does not, processor time is all there is. */
 async function describeCounters(): Promise<string> {
 	const child = spawn('perf', ['stat', '-x', ',', '-e', hardwareCounters, 'true'], {stdio: ['ignore', 'ignore', 'pipe']});
@@ -116,8 +143,8 @@
 }
 
 /** Binds this process, and so all that it starts, to one core. */
-function bindTo(core: number): string {
-	const {status} = spawnSync('taskset', ['-cp', String(core), String(process.pid)]);
+function bindTo(core: string): string {
+	const {status} = spawnSync('taskset', ['-cp', core, String(process.pid)]);
 	return status === 0 ? `all processes on core ${core}` : 'no taskset: processes on all cores';
 }
 
@@ -145,9 +172,10 @@
 cli.option('--seconds <seconds>', 'Time of the load', {default: 20});
 cli.option('--rest <seconds>', 'Time without load before it', {default: 4});
 cli.option('--rounds <count>', 'Rounds; arms take turns in each', {default: 1});
-cli.option('--core <number>', 'Core for all processes', {default: 1});
+cli.option('--core <list>', 'Core or cores for all processes', {default: 1});
 cli.option('--no-bare', 'Leave the bare hops out');
 cli.option('--profile <folder>', 'Write profiles of the nodes');
+cli.option('--system-calls', 'Count system calls for each call, in place of all else');
 const {options} = cli.parse();
 const armTexts = [options.arm ?? []].flat() as string[];
 const arms: Arm[] = [
@@ -161,12 +189,13 @@
 	restSeconds: Number(options.rest),
 	...(options.profile === undefined ? {} : {profile: String(options.profile)}),
 };
-process.stdout.write(`${await describeCounters()}\n${bindTo(Number(options.core))}\n`);
+process.stdout.write(`${await describeCounters()}\n${bindTo(String(options.core))}\n`);
+const measureArm = options.systemCalls === true ? measureSystemCalls : measure;
 const results = new Map<string, Figures[]>(arms.map(arm => [arm.name, []]));
 for (let round = 0; round < Number(options.rounds); round += 1) {
 	const turn = round % 2 === 0 ? arms : arms.toReversed();
 	for (const arm of turn) {
-		results.get(arm.name)!.push(await measure(arm, shape)); // eslint-disable-line no-await-in-loop
+		results.get(arm.name)!.push(await measureArm(arm, shape)); // eslint-disable-line no-await-in-loop
 	}
 }
 
