Bound an exchange with the upstream by one timer

Cause: each exchange took a timer of its own length, and had the client library set two more for the head and the body, of the same length as the whole, which that timer bounds already. The runtime keeps a list for each length, so each made and dropped a list and a place in a heap.

Tests of endless, cut and unframed answers pass unchanged.

--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -259,7 +259,7 @@
 				headers: body === undefined ? [] : ['content-type', 'application/json'],
 				body: body === undefined ? undefined : Buffer.from(body),
 				maximumBytes: maximumAnswerBytes,
-				timeoutMilliseconds: controlMilliseconds,
+				silenceMilliseconds: controlMilliseconds,
 				totalMilliseconds: controlTotalMilliseconds,
 			}, resolve);
 		});
