--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -41,15 +41,12 @@
 	readonly headers: string[];
 	readonly body: Uint8Array | undefined;
 	readonly maximumBytes: number;
-	/** Longest wait for the head of the answer and between its parts; left out, only the whole time is bounded. */
-	readonly silenceMilliseconds?: number;
+	/** Longest wait for the head of the answer and between its parts. */
+	readonly timeoutMilliseconds: number;
 	/** Longest time for the whole exchange, however steadily parts of an answer come. */
 	readonly totalMilliseconds: number;
 };
 
-/** Deadlines are rounded up to this, since the runtime keeps those of one length in one list. */
-const deadlineStepMilliseconds = 250;
-
 /** An exchange under way. */
 export type Exchange = {
 	/** Closes the connection; the other side sees that nobody waits any longer. */
@@ -63,10 +60,10 @@
  * const exchange = startExchange(pool, request, result => console.log(result));
  */
 export function startExchange(pool: Dispatcher, request: ExchangeRequest, report: (result: ExchangeResult) => void, connections?: WatchedConnections): Exchange {
-	const {origin, method, path, headers, body, silenceMilliseconds = 0, totalMilliseconds} = request;
+	const {origin, method, path, headers, body, timeoutMilliseconds, totalMilliseconds} = request;
 	const deadline = setTimeout(() => {
 		handler.expire();
-	}, Math.ceil(totalMilliseconds / deadlineStepMilliseconds) * deadlineStepMilliseconds);
+	}, totalMilliseconds);
 	const handler = new ExchangeHandler(request, result => {
 		clearTimeout(deadline);
 		report(result);
@@ -77,8 +74,8 @@
 		path,
 		headers,
 		body: body === undefined || body.length === 0 ? null : body,
-		headersTimeout: silenceMilliseconds,
-		bodyTimeout: silenceMilliseconds,
+		headersTimeout: timeoutMilliseconds,
+		bodyTimeout: timeoutMilliseconds,
 	}, handler);
 	return {
 		abort() {
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -259,7 +259,7 @@
 				headers: body === undefined ? [] : ['content-type', 'application/json'],
 				body: body === undefined ? undefined : Buffer.from(body),
 				maximumBytes: maximumAnswerBytes,
-				silenceMilliseconds: controlMilliseconds,
+				timeoutMilliseconds: controlMilliseconds,
 				totalMilliseconds: controlTotalMilliseconds,
 			}, resolve);
 		});
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -107,13 +107,15 @@
 			...(expectedInstance === undefined || this.#instance === undefined ? [] : [expectedInstance, this.#instance]),
 		];
 		this.#connections.allowBody(answerBytesLimit);
+		const timeoutMilliseconds = Math.min(longestMilliseconds, (timeLeftMilliseconds * 2) + extraMilliseconds);
 		const exchange = startExchange(this.#pool, {
 			method: request.method,
 			path: request.target,
 			headers,
 			body: request.body,
 			maximumBytes: answerBytesLimit,
-			totalMilliseconds: Math.min(longestMilliseconds, (timeLeftMilliseconds * 2) + extraMilliseconds),
+			timeoutMilliseconds,
+			totalMilliseconds: timeoutMilliseconds,
 		}, result => {
 			this.#open.delete(callId);
 			this.#report(effect, result);
--- a/packages/node/src/upstream-probe.ts
+++ b/packages/node/src/upstream-probe.ts
@@ -32,7 +32,7 @@
 	const agent = new Agent({connections: 1, pipelining: 1, connectTimeout: probeMilliseconds});
 	const result = await new Promise<ExchangeResult>(resolve => {
 		startExchange(agent, {
-			origin: `http://${upstream.address}`, method: 'GET', path, headers: [], body: undefined, maximumBytes, silenceMilliseconds: probeMilliseconds, totalMilliseconds: probeMilliseconds * 2,
+			origin: `http://${upstream.address}`, method: 'GET', path, headers: [], body: undefined, maximumBytes, timeoutMilliseconds: probeMilliseconds, totalMilliseconds: probeMilliseconds * 2,
 		}, resolve);
 	});
 	await agent.destroy();
