Let no refusal of a broken request overtake the answer before it

A caller whose connection held an open request, and then something that cannot be read, got the refusal of the second as the answer to the first: 400, 431, or 408 for one that came too slowly, each with the outcome not-run, while the first request ran. The error was written to the connection as soon as it was seen, without a look at what is open there; the connection was closed, and the open request cancelled.

Such a connection is not read any further. Its open requests get their answers, and it closes with the last of them; what came behind counts as not read. The callers' server only: nodes send each other one request at a time.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -8,6 +8,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
@@ -81,7 +82,11 @@
 		this.#server.on('connection', () => {
 			this.#takenConnections += 1;
 		});
-		this.#server.on('clientError', sendClientError);
+		this.#server.on('clientError', (error, socket) => {
+			if (!this.#openRequests.breakOff(socket as Socket)) {
+				sendClientError(error, socket);
+			}
+		});
 		definition.core.handle({
 			[NodeEffectType.AnswerCaller]: ({entryId, answer}) => {
 				this.#answer(entryId, answer);
@@ -207,7 +212,7 @@
 		const {response, socket, startedAt, requestId} = open;
 		this.#definition.observeAnswer(answer.outcome, performance.now() - startedAt);
 
-		if (this.#isStopping && this.#openRequests.closeAfter(entryId, socket)) {
+		if ((this.#isStopping || this.#openRequests.isBroken(socket)) && this.#openRequests.closeAfter(entryId, socket)) {
 			response.shouldKeepAlive = false;
 		}
 
--- a/packages/node/src/open-requests.ts
+++ b/packages/node/src/open-requests.ts
@@ -22,6 +22,8 @@
 	newest: number;
 	/** Its last answer is decided, and tells the caller that it closes. */
 	isClosing: boolean;
+	/** What came on it behind its open requests cannot be read. */
+	isBroken: boolean;
 };
 
 /**
@@ -83,13 +85,32 @@
 		return this.#connections.get(socket)?.isClosing ?? false;
 	}
 
+	/** Reads nothing more from a connection with open requests, so that they get their answers; false when it has none. */
+	breakOff(socket: Socket): boolean {
+		const connection = this.#connections.get(socket);
+		if (connection === undefined || connection.entries.size === 0) {
+			return false;
+		}
+
+		connection.isBroken = true;
+		socket.pause();
+		return true;
+	}
+
+	/** Whether nothing more can be read from a connection. */
+	isBroken(socket: Socket): boolean {
+		return this.#connections.get(socket)?.isBroken ?? false;
+	}
+
 	#connectionOf(socket: Socket): Connection {
 		const known = this.#connections.get(socket);
 		if (known !== undefined) {
 			return known;
 		}
 
-		const connection: Connection = {entries: new Set(), newest: 0, isClosing: false};
+		const connection: Connection = {
+			entries: new Set(), newest: 0, isClosing: false, isBroken: false,
+		};
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createConnection, type Socket} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 import {
 	NodeEffectType, Outcome, type CallerRequest, type NodeEffect,
 } from '@laburnumspool/core';
@@ -206,6 +207,36 @@
 	t.match(await readUntil(quick, 'small body'), /^HTTP\/1\.1 200 /u);
 });
 
+const broken: Readonly<Record<string, string>> = {
+	'no HTTP': 'garbage\r\n\r\n',
+	'headers that are too large': `GET /two HTTP/1.1\r\nhost: h\r\nx: ${'y'.repeat(200_000)}\r\n\r\n`,
+	'a head that stays away': 'GET /two HTTP/1.1\r\nhost: h\r\n',
+	'a body that stays away': 'PUT /two HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n\r\nabc',
+	'much that is no HTTP': `${'z'.repeat(1000)}\r\n`.repeat(16),
+};
+/** In several of them the server has seen each kind of broken request. */
+const slowMilliseconds = 200;
+
+for (const [name, bytes] of Object.entries(broken)) {
+	test(`a request that cannot be read never takes the place of the answer to the one before it: ${name}`, async t => {
+		const {messages, told, answer, connect} = await start(t, slowMilliseconds);
+		const socket = await connect();
+		const closed = new Promise(resolve => {
+			socket.once('close', resolve);
+		});
+		const chunks: string[] = [];
+		socket.on('data', chunk => chunks.push(String(chunk)));
+		socket.write('GET /one HTTP/1.1\r\nhost: h\r\nx-id: one\r\n\r\n');
+		await untilRequested(told, messages, 1);
+		socket.write(bytes);
+		await wait(slowMilliseconds * 5);
+		t.same(messages.map(({type}) => type), [CoreMessageType.CallerRequested], 'the request before it goes on');
+		answer(requestsOf(messages)[0]!.entryId, 'body of one;');
+		await closed;
+		t.match(chunks.join(''), /^HTTP\/1\.1 200 OK\r\nx-id: one\r\n[\s\S]*\r\nconnection: close\r\n[\s\S]*body of one;$/iu);
+	});
+}
+
 const mostTakenBytes = 32 * 1024 * 1024;
 const mostSentBytes = 256 * 1024 * 1024;
 const chunkedHead = 'PUT /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n';
