Bound what the operators' command reads of a node

The command that ships a manifest and waits for it read health and members of each node without a bound on bytes: a node, or what stands at its address, that answers without end held it until its memory was gone. The answer is bounded by 16 MiB and ten seconds now; such a node counts as one that does not have the revision.

wait.test: before, the other side could send all of its 256 MiB; after, under 64 MiB, with what the kernel holds.

--- a/packages/manifest/src/wait.ts
+++ b/packages/manifest/src/wait.ts
@@ -7,6 +7,8 @@
 import * as valibot from 'valibot';
 
 const answerMilliseconds = 2000;
+const totalMilliseconds = 10_000;
+const maximumBytes = 16 * 1024 * 1024;
 
 const membersSchema = valibot.object({
 	members: valibot.array(valibot.object({name: valibot.string(), callers: valibot.string()})),
@@ -47,9 +49,11 @@
 }
 
 async function read(node: string, name: string): Promise<unknown> {
-	const agent = new Agent({headersTimeout: answerMilliseconds, bodyTimeout: answerMilliseconds});
+	const agent = new Agent({headersTimeout: answerMilliseconds, bodyTimeout: answerMilliseconds, maxResponseSize: maximumBytes});
 	try {
-		const response = await agent.request({origin: `http://${node}`, path: `/laburnumspool/v1/${name}`, method: 'GET'});
+		const response = await agent.request({
+			origin: `http://${node}`, path: `/laburnumspool/v1/${name}`, method: 'GET', signal: AbortSignal.timeout(totalMilliseconds),
+		});
 		return await response.body.json();
 	} finally {
 		await agent.destroy();
