--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -87,7 +87,11 @@
 		this.#server.on('timeout', (socket: Socket) => {
 			void closeIfSilent(socket);
 		});
-		this.#server.on('clientError', sendClientError);
+		this.#server.on('clientError', (error, socket) => {
+			if (!this.#openRequests.breakOff(socket as Socket)) {
+				sendClientError(error, socket);
+			}
+		});
 		definition.core.handle({
 			[NodeEffectType.AnswerCaller]: ({entryId, answer}) => {
 				this.#answer(entryId, answer);
@@ -220,7 +224,7 @@
 		const {response, socket, startedAt, requestId} = open;
 		this.#definition.observeAnswer(answer.outcome, performance.now() - startedAt);
 
-		if (this.#isStopping && this.#openRequests.closeAfter(entryId, socket)) {
+		if ((this.#isStopping || this.#openRequests.isBroken(socket)) && this.#openRequests.closeAfter(entryId, socket)) {
 			response.shouldKeepAlive = false;
 		}
 
