Cancel a caller's request when it leaves in the middle of the next

Cause: the parser reports the end of a connection inside a request by the same event as a request that cannot be read. Change: that one error ends the connection, and with it what is open on it.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -30,6 +30,8 @@
 const bytesAroundHeader = 4;
 /** Longest turn of the event loop after which a look at the connections still holds; one that does nothing takes far less. */
 const quietMilliseconds = 1;
+/** Code of the parser's error when a caller closes its connection in the middle of a request. */
+const endedInRequest = 'HPE_INVALID_EOF_STATE';
 const answerHeaders: ReadonlySet<string> = new Set([HeaderName.Outcome, HeaderName.Attempts]);
 
 export type CallersServerDefinition = {
@@ -87,8 +89,10 @@
 		this.#server.on('timeout', (socket: Socket) => {
 			void closeIfSilent(socket);
 		});
-		this.#server.on('clientError', (error, socket) => {
-			if (!this.#openRequests.breakOff(socket as Socket)) {
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+			if (error.code === endedInRequest) {
+				socket.destroy();
+			} else if (!this.#openRequests.breakOff(socket as Socket)) {
 				sendClientError(error, socket);
 			}
 		});
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -318,6 +318,18 @@
 	t.match(await readUntil(quick, 'small body'), /^HTTP\/1\.1 200 /u);
 });
 
+test('a caller that leaves in the middle of a request has the one before it cancelled', async t => {
+	const {messages, told, connect} = await start(t);
+	const socket = await connect();
+	socket.on('error', silent);
+	socket.write('GET /one HTTP/1.1\r\nhost: h\r\n\r\n');
+	await untilRequested(told, messages, 1);
+	const gone = once(told, CoreMessageType.CallerGone);
+	socket.end('GET /two HTTP/1.1\r\nho');
+	await gone;
+	t.equal(messages.length, 2);
+});
+
 const broken: Readonly<Record<string, string>> = {
 	'no HTTP': 'garbage\r\n\r\n',
 	'headers that are too large': `GET /two HTTP/1.1\r\nhost: h\r\nx: ${'y'.repeat(200_000)}\r\n\r\n`,
