Judge a refused payment from when its node had read it

"Payments are refused only after less important work" took a payment to have been at the refusing node since its caller sent it. It was a race of two messages, not the order of one queue.

Where the refusal says how long the payment waited at the node, only receipts sent after it came there count; anything else is judged as before, over the whole time. One new case is found before and after (it waited 45 ms), one was wrongly found before (0 ms).

--- a/demo/src/soak-checks.ts
+++ b/demo/src/soak-checks.ts
@@ -232,14 +232,18 @@
 	});
 }
 
-/** Without a fault no payment is turned away while the refusing node, or any if the entry refused it, lets less important work run. */
+/**
+ * Without a fault no payment is turned away while the refusing node, or any if the entry refused it, lets less important
+ * work run. A node that says how long the payment waited there had not read it before that time.
+ */
 function findUnjustRefusals({results, instanceRuns}: SoakRecord): string[] {
 	const burst = results.filter(({phase}) => phase === SoakPhase.Burst);
 	const receipts = burst.filter(({kind}) => kind.path === receipt.path);
 	return burst.filter(({kind, outcome}) => kind.path === payment.path && outcome === 'not-run').flatMap(({id, status, sentAt, endedAt, body}) => {
-		const refuser = /, at ([^\s"]+)"/u.exec(body)?.[1];
+		const {refuser, waited} = /(?:, after (?<waited>\d+) ms)?, at (?<refuser>[^\s"]+)"/u.exec(body)?.groups ?? {};
+		const arrivedAt = waited === undefined ? sentAt : Math.max(sentAt, endedAt - Number(waited));
 		const hasRun = (receiptId: string): boolean => [...instanceRuns].some(([instance, ids]) => (refuser === undefined || instance === refuser) && ids.has(receiptId));
-		const rival = receipts.find(other => other.sentAt >= sentAt && other.endedAt <= endedAt && hasRun(other.id));
+		const rival = receipts.find(other => other.sentAt >= arrivedAt && other.endedAt <= endedAt && hasRun(other.id));
 		return rival === undefined ? [] : [`the payment ${id} got ${status} while the receipt ${rival.id} ran: ${body.slice(0, 300)}`];
 	});
 }
--- a/demo/src/tests/soak-checks.test.ts
+++ b/demo/src/tests/soak-checks.test.ts
@@ -141,6 +141,10 @@
 	const results = [refused('a', payment, {phase: SoakPhase.Burst}), served('b', receipt, {phase: SoakPhase.Burst, sentAt: 1010, endedAt: 1040})];
 	t.same(checksOf({results, instanceRuns: new Map([['deposits-1', new Set(['b'])]])}), [Check.Importance]);
 	t.same(checksOf({results, instanceRuns: new Map([['deposits-0', new Set(['b'])]])}), [], 'another node has room');
+	const after = (milliseconds: number): SoakResult[] => [refused('a', payment, {phase: SoakPhase.Burst, body: `{"detail":"refused before dispatch, after ${milliseconds} ms, at deposits-1"}`}), results[1]!];
+	const instanceRuns = new Map([['deposits-1', new Set(['b'])]]);
+	t.same(checksOf({results: after(45), instanceRuns}), [Check.Importance], 'the payment waited there before the receipt was sent');
+	t.same(checksOf({results: after(0), instanceRuns}), [], 'the node had not read the payment yet');
 });
 
 test('finds work for a leaving upstream, and memory without bound', async t => {
