--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -19,6 +19,8 @@
 import {linkProtocol, PeerLink} from './peer-link.js';
 
 const connectMilliseconds = 500;
+/** The time to connect passes in parts, so that a standstill of the own node, however long, costs one of them. */
+const connectParts = 5;
 const controlMilliseconds = 1000;
 
 /** For a whole view or manifest, over a narrow link. */
@@ -153,11 +155,16 @@
 			address, connecting, link: undefined, waiting: [], calls: new Set(), sender: new TextSender(), receiver: new TextReceiver(),
 		};
 		this.#ways.set(address, way);
-		const deadline = setTimeout(() => {
-			this.#end(way, 'no connection was made in time');
-		}, connectMilliseconds);
+		let partsLeft = connectParts;
+		const deadline = setInterval(() => {
+			partsLeft -= 1;
+			if (partsLeft === 0) {
+				clearInterval(deadline);
+				this.#end(way, 'no connection was made in time');
+			}
+		}, connectMilliseconds / connectParts);
 		connecting.once('upgrade', (_response, socket, head) => {
-			clearTimeout(deadline);
+			clearInterval(deadline);
 			this.#open(way, new PeerLink(socket, head, {
 				received: frame => {
 					way.link?.heard(this.#definition.clock());
@@ -169,12 +176,12 @@
 			}));
 		});
 		connecting.once('response', response => {
-			clearTimeout(deadline);
+			clearInterval(deadline);
 			response.resume();
 			this.#end(way, `the node answered ${response.statusCode}`);
 		});
 		connecting.on('error', error => {
-			clearTimeout(deadline);
+			clearInterval(deadline);
 			this.#end(way, error.message);
 		});
 		connecting.end();
