Let a refused connection to the upstream fail its call, not the process

Cause: the client library calls back with the error alone after a failed connection, while the watched connections looked for null in place of the socket, and defined properties on undefined in a listener. The types say null, so the compiler could not tell. No test let an upstream stop listening.

The test failed before: "Object.defineProperties called on non-object", an uncaught exception. Now both calls end as not connected, which proves them not run.

--- a/packages/node/src/tests/raw-upstream.ts
+++ b/packages/node/src/tests/raw-upstream.ts
@@ -57,6 +57,8 @@
 	readonly call: (number: number) => Promise<string>;
 	readonly dispatch: (number: number) => void;
 	readonly connections: Socket[];
+	/** From now on connections are refused. */
+	readonly stopListening: () => Promise<void>;
 };
 
 /** Bytes of an answer. */
@@ -106,6 +108,10 @@
 			dispatch(number);
 			return summary(await core.next());
 		},
+		async stopListening() {
+			server.close();
+			await once(server, 'close');
+		},
 	};
 }
 
--- a/packages/node/src/tests/upstream-client.test.ts
+++ b/packages/node/src/tests/upstream-client.test.ts
@@ -49,6 +49,13 @@
 	});
 }
 
+test('a connection that the upstream refuses fails its call alone, not the process', async t => {
+	const {call, stopListening} = await start(t, (requestId, socket) => socket.write(whole(requestId, requestId)));
+	await stopListening();
+	t.equal(await call(1), UpstreamFailure.NotConnected);
+	t.equal(await call(2), UpstreamFailure.NotConnected);
+});
+
 test('an answer that is cut, reset or unsigned is none, and one without a length needs an orderly end', async t => {
 	const ends: Readonly<Record<string, (socket: Socket) => void>> = {
 		r1: socket => socket.end('HTTP/1.1 200 OK\r\nrequest-id: r1\r\nsignature: s\r\ncontent-length: 10\r\n\r\nabc'),
--- a/packages/node/src/watched-connections.ts
+++ b/packages/node/src/watched-connections.ts
@@ -31,11 +31,12 @@
 		const connect = buildConnector({timeout: connectMilliseconds});
 		this.connect = (options, callback) => {
 			connect(options, (...result) => {
-				// The library adds its own listeners in the callback, so these run first.
-				if (result[1] !== null) {
-					keepAddress(result[1], options);
-					this.#watchEnd(result[1]);
-					this.#watchBytes(result[1]);
+				// The library adds its own listeners in the callback, so these run first. After a failure it gives the error alone.
+				const [, socket] = result;
+				if (socket instanceof Socket) {
+					keepAddress(socket, options);
+					this.#watchEnd(socket);
+					this.#watchBytes(socket);
 				}
 
 				callback(...result);
