Pass over upstreams that leave their calls unanswered

Cause: peers are told apart by room alone, nearest first, and an upstream that ends its calls without an answer always has room.

Each node now counts, for each peer and kind, the share of calls that may have run and got no answer or 504, and passes over those that leave a half or more while another known peer has room. A few trials go on, and old news fades.

--- a/packages/core/src/entry/entry.ts
+++ b/packages/core/src/entry/entry.ts
@@ -12,11 +12,12 @@
 import type {AnswerFrame, CallError, CallFrame} from '../messages.js';
 import {AttemptBounds} from './attempt-bounds.js';
 import {
-	EntryEffectType, EntryPhase, LocateType, type Destination, type EntryEffect, type EntryRequest, type EntryState,
+	EntryEffectType, EntryPhase, LocateType, type Destination, type EntryEffect, type EntryRequest, type EntryState, type Sending,
 } from './entry-call.js';
 import {SendFailure, type EntryDefinition} from './entry-definition.js';
 
 const primaryPauseMilliseconds = 50;
+const timedOutStatus = 504;
 
 /** Refusals of calls that have reached an upstream, and so count like retries. */
 const reachedKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.UpstreamRefused, ErrorKind.NotServed]);
@@ -83,6 +84,10 @@
 		}
 
 		this.#definition.loads.finished(sending.destination.member.name, state.request.policy.kind, frame.serving, now - sending.sentAt, now);
+		if (frame.outcome !== Outcome.NotRun) {
+			this.#noteRun(state, sending, frame.answer !== undefined && frame.answer.status !== timedOutStatus, now);
+		}
+
 		this.#closeSending(state);
 		state.request.account.giveBack(sending.part, frame.retriesSpent);
 		if (frame.error === undefined && frame.answer !== undefined) {
@@ -127,6 +132,8 @@
 		this.#definition.loads.failed(state.sending.destination.member.name, false, now);
 		if (isNotRun) {
 			state.request.account.giveBack(state.sending.part, 0);
+		} else {
+			this.#noteRun(state, state.sending, false, now);
 		}
 
 		this.#closeSending(state);
@@ -326,6 +333,10 @@
 		}
 	}
 
+	#noteRun({request: {policy: {kind}}}: EntryState, {destination: {member}}: Sending, isAnswered: boolean, now: number): void {
+		this.#definition.loads.ran(member.name, kind, isAnswered, now);
+	}
+
 	#stateOf(callId: string): EntryState | undefined {
 		const entryId = this.#entryIdByCallId.get(callId);
 		return entryId === undefined ? undefined : this.#calls.get(entryId);
--- a/packages/core/src/routing/peer-loads.ts
+++ b/packages/core/src/routing/peer-loads.ts
@@ -16,6 +16,11 @@
 const assumedShare = 0.25;
 const linkSmoothing = 0.2;
 const unreachableMilliseconds = 500;
+const lostSmoothing = 0.3;
+
+/** What is known of lost calls holds for a while and then halves again and again, so that a peer left alone is tried again. */
+const lostHoldMilliseconds = 2000;
+const lostHalfLifeMilliseconds = 4000;
 
 /** Least priorities that a peer admits for a kind: for want of room of its own, and for want of room below it. */
 export type KnownLevel = {readonly own: number; readonly below: number; readonly at: number};
@@ -32,6 +37,7 @@
 	version: number;
 	slots: number;
 	readonly levels: Map<string, KnownLevel>;
+	readonly lost: Map<string, {readonly share: number; readonly at: number}>;
 };
 
 /**
@@ -66,6 +72,17 @@
 		return entry === undefined || now - entry.at > levelHoldMilliseconds ? undefined : entry;
 	}
 
+	/** Share of the kind's calls that ran at the peer lately and got no answer from its upstream, or not in time. */
+	lostShare(peer: string, kind: string, now: number): number {
+		const lost = this.#peers.get(peer)?.lost.get(kind);
+		if (lost === undefined) {
+			return 0;
+		}
+
+		const idle = Math.max(0, now - lost.at - lostHoldMilliseconds);
+		return lost.share * (2 ** -(idle / lostHalfLifeMilliseconds));
+	}
+
 	isLeaving(peer: string): boolean {
 		return this.#peers.get(peer)?.leaving ?? false;
 	}
@@ -98,6 +115,12 @@
 		load.linkMilliseconds += linkSmoothing * (link - load.linkMilliseconds);
 	}
 
+	/** Notes whether the peer's upstream answered in time a call that it may have run. */
+	ran(peer: string, kind: string, isAnswered: boolean, now: number): void {
+		const share = this.lostShare(peer, kind, now);
+		this.#entry(peer).lost.set(kind, {share: share + (lostSmoothing * ((isAnswered ? 0 : 1) - share)), at: now});
+	}
+
 	/** Notes the end of a call without an answer. */
 	failed(peer: string, unreachable: boolean, now: number): void {
 		const load = this.#entry(peer);
@@ -143,6 +166,7 @@
 			version: 0,
 			slots: 0,
 			levels: new Map(),
+			lost: new Map(),
 		};
 		this.#peers.set(peer, created);
 		return created;
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -1,5 +1,5 @@
 /**
- * Picks the node that serves a call: the nearest with room, by the better of two random choices.
+ * Picks the node that serves a call: the nearest with room whose upstream answers, by the better of two random choices.
  *
  * @module
  */
@@ -11,6 +11,10 @@
 import {PeerLoads} from './peer-loads.js';
 
 const fewestLevels = 2;
+const mostLost = 0.5;
+
+/** Share of the calls that pass over no peer, so that an upstream's recovery is seen. */
+const trialShare = 0.03;
 
 /** What the router needs to know of a call. */
 export type RoutingRequest = {
@@ -99,7 +103,9 @@
 			return {type: RouteType.Shed};
 		}
 
-		return {type: RouteType.Send, candidate: this.#nearestWithRoom(admitting, now) ?? this.#leastLoaded(admitting, now)};
+		const answering = this.#answering(admitting, request.kind, now);
+		const candidate = this.#nearestWithRoom(answering, now) ?? this.#nearestWithRoom(admitting, now) ?? this.#leastLoaded(answering, now);
+		return {type: RouteType.Send, candidate};
 	}
 
 	/**
@@ -118,7 +124,7 @@
 	/** The candidate with the most room, whether it has refused before or not. */
 	mostRoom(request: RoutingRequest, now: number): Candidate | undefined {
 		const all = this.#permitted(request);
-		return all.length === 0 ? undefined : this.#leastLoaded(all, now);
+		return all.length === 0 ? undefined : this.#leastLoaded(this.#answering(all, request.kind, now), now);
 	}
 
 	#permitted(request: RoutingRequest): Candidate[] {
@@ -126,6 +132,13 @@
 			.filter(({member, distance}) => !this.loads.isLeaving(member.name) && (request.crossRegion || distance !== Distance.OtherRegion));
 	}
 
+	/** An upstream that is slow or broken ends its calls without an answer and so always has room; it is passed over while others answer. */
+	#answering(candidates: readonly Candidate[], kind: string, now: number): readonly Candidate[] {
+		const answering = candidates.filter(({member}) => this.loads.lostShare(member.name, kind, now) < mostLost);
+		const isTrial = answering.length < candidates.length && this.#random() < trialShare;
+		return answering.length === 0 || isTrial ? candidates : answering;
+	}
+
 	#nearestWithRoom(candidates: readonly Candidate[], now: number): Candidate | undefined {
 		const withRoom = candidates.filter(({member}) => this.loads.headroom(member.name, now) > 0 && !this.loads.isUnreachable(member.name, now));
 		const nearest = distances.map(distance => withRoom.filter(candidate => candidate.distance === distance)).find(group => group.length > 0);
--- a/packages/core/src/tests/routing.test.ts
+++ b/packages/core/src/tests/routing.test.ts
@@ -62,3 +62,35 @@
 	t.equal(router.lowestLevel('deep', 'fetch', 1010), 210);
 	t.equal(router.route(request, 1010).type, RouteType.Shed);
 });
+
+test('an upstream that answers nothing is passed over, though it has the most room, until it answers again', async t => {
+	const router = createRouter([member('silent', 'a'), member('other', 'b')]);
+	const chosen = (count: number, now: number): number => Array.from({length: count}, () => router.route(request, now))
+		.filter(choice => choice.type === RouteType.Send && choice.candidate.member.name === 'silent').length;
+	answer(router, 'other', serving(), 1000);
+	t.equal(chosen(100, 1000), 100, 'the nearest');
+	[1, 2, 3].map(() => {
+		router.loads.ran('silent', 'fetch', false, 1000);
+		return undefined;
+	});
+	t.ok(chosen(100, 1010) < 10, 'a few trials');
+	t.ok(chosen(100, 1010) > 0, 'a few trials');
+	t.equal(chosen(100, 10_000), 100, 'what was known has grown old');
+	[1, 2, 3].map(() => {
+		router.loads.ran('silent', 'fetch', false, 10_000);
+		return undefined;
+	});
+	router.loads.ran('silent', 'fetch', true, 10_010);
+	router.loads.ran('silent', 'fetch', true, 10_020);
+	t.equal(chosen(100, 10_030), 100, 'it answers again');
+});
+
+test('where no upstream answers none is passed over', async t => {
+	const router = createRouter([member('near', 'a'), member('other', 'b')]);
+	['near', 'other', 'near', 'other'].map(name => {
+		router.loads.ran(name, 'fetch', false, 1000);
+		return name;
+	});
+	t.match(router.route(request, 1010), {type: RouteType.Send, candidate: {member: {name: 'near'}}});
+	t.match(router.mostRoom(request, 1010), {member: {}});
+});
