Do not blame an upstream for callers that leave

What callers would have seen: where many leave before their answer, their calls went to other failure domains and regions, away from upstreams that answer well. Cause: "Pass over upstreams that leave their calls unanswered" counted every call that may have run and had no answer, so also those that were cancelled because their caller left, or to make room for more important work.

Change: only broken answers and passed deadlines count.

--- a/benchmarks/src/tests/silent-upstreams.test.ts
+++ b/benchmarks/src/tests/silent-upstreams.test.ts
@@ -86,3 +86,19 @@
 		return system;
 	});
 });
+
+test('callers that leave do not make an upstream pass for one that answers nothing', async t => {
+	const system = new VirtualSystem({seed: 1, manifest, services});
+	system.runUntil(settleMilliseconds);
+	const entry = 'deposits-0';
+	for (let count = 0; count < 30; count += 1) {
+		const leave = system.request(entry, {host, method: 'GET', target: '/lookup/1'}, () => undefined);
+		system.runUntil(system.now + 5);
+		leave();
+		system.runUntil(system.now + 20);
+	}
+
+	const domainOf = (name: string): string => system.node(name).core.own.location.failureDomain;
+	t.ok(system.work.length >= 30);
+	t.same(system.work.filter(({node}) => domainOf(node) !== domainOf(entry)), [], 'none went to another failure domain');
+});
--- a/packages/core/src/entry/entry.ts
+++ b/packages/core/src/entry/entry.ts
@@ -22,6 +22,9 @@
 /** Refusals of calls that have reached an upstream, and so count like retries. */
 const reachedKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.UpstreamRefused, ErrorKind.NotServed]);
 
+/** Ends of calls that may have run and for which the upstream is to blame, and not a caller that left or more important work. */
+const lostKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.UpstreamBroken, ErrorKind.TimedOut]);
+
 /** Refusals that say nothing of the key's range but that its primary is changing. */
 const passingKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.StaleRange, ErrorKind.PeerLost, ErrorKind.Leaving, ErrorKind.NotReady]);
 
@@ -84,8 +87,10 @@
 		}
 
 		this.#definition.loads.finished(sending.destination.member.name, state.request.policy.kind, frame.serving, now - sending.sentAt, now);
-		if (frame.outcome !== Outcome.NotRun) {
-			this.#noteRun(state, sending, frame.answer !== undefined && frame.answer.status !== timedOutStatus, now);
+		if (frame.answer !== undefined) {
+			this.#noteRun(state, sending, frame.answer.status !== timedOutStatus, now);
+		} else if (frame.outcome !== Outcome.NotRun && frame.error !== undefined && lostKinds.has(frame.error.kind)) {
+			this.#noteRun(state, sending, false, now);
 		}
 
 		this.#closeSending(state);
