Share the chain of services between two tests in virtual time

Cause: the test of upstreams that answer nothing had copied the routes, calls and load of the test of overload through a chain, thirty lines and more. Change: both take them from deep-chain.ts.

--- a/benchmarks/src/tests/silent-upstreams.test.ts
+++ b/benchmarks/src/tests/silent-upstreams.test.ts
@@ -1,32 +1,15 @@
 import {test} from 'tap';
-import {
-	safeParseManifest, UpstreamFailure, type CallerAnswer, type Manifest,
-} from '@laburnumspool/core';
+import {UpstreamFailure} from '@laburnumspool/core';
 import {seededRandom} from '@laburnumspool/load';
-import type {VirtualInnerCall, VirtualService} from '../virtual-node.js';
+import type {VirtualService} from '../virtual-node.js';
 import {VirtualSystem} from '../virtual-system.js';
+import {
+	ask, calls, chainManifest, host, isServed, settleMilliseconds, shareOf,
+} from './deep-chain.js';
 
-const host = 'shop.example';
-const route = (service: string, prefix: string, rank: number, waitMilliseconds: number): Record<string, unknown> => ({
-	host, prefix, semantics: 'idempotent', rank, waitMilliseconds, attempts: 2, service,
-});
-const result = safeParseManifest({
-	version: 1,
-	routes: {
-		browse: route('catalogue', '/browse/', 2, 2000),
-		status: route('orders', '/status/', 2, 1000),
-		ledger: route('deposits', '/ledger/', 2, 2000),
-		lookup: route('deliveries', '/lookup/', 2, 700),
-	},
-	services: {
-		catalogue: {}, orders: {}, deposits: {}, deliveries: {},
-	},
+const manifest = chainManifest({
+	browse: 2000, order: 2000, status: 1000, ledger: 2000, lookup: 700,
 });
-const {manifest} = (result as {manifest: Manifest});
-
-const calls = (target: string, times: number): VirtualInnerCall[] => Array.from({length: times}, () => ({
-	service: '', host, method: 'GET', target,
-}));
 
 const services: readonly VirtualService[] = [
 	{
@@ -45,29 +28,9 @@
 	},
 ];
 
-const settleMilliseconds = 3000;
 const adaptMilliseconds = 1500;
 const loadMilliseconds = 5000;
 
-type Asked = {readonly at: number; readonly answers: CallerAnswer[]};
-
-/** Asks at random times, at nodes in turn. */
-function ask(system: VirtualSystem, perSecond: number, random: () => number): Asked[] {
-	const asked: Asked[] = [];
-	let at = 0;
-	while (at < loadMilliseconds) {
-		at -= Math.log(1 - random()) * 1000 / perSecond;
-		const entry = {at, answers: [] as CallerAnswer[]};
-		const node = system.nodes[asked.length % system.nodes.length]!;
-		asked.push(entry);
-		system.schedule(at, () => {
-			system.request(node.name, {host, method: 'GET', target: '/browse/1'}, answer => entry.answers.push(answer));
-		});
-	}
-
-	return asked.filter(entry => entry.at > adaptMilliseconds);
-}
-
 test('upstreams that answer nothing do not go on taking the calls of their failure domain', async t => {
 	[1, 2, 3].map(seed => {
 		const system = new VirtualSystem({seed, manifest, services});
@@ -79,9 +42,11 @@
 			node.slowFactor = 0.1;
 			return name;
 		});
-		const asked = ask(system, 100, random);
+		const asked = ask(system, {
+			target: '/browse/1', perSecond: 100, milliseconds: loadMilliseconds, random,
+		}).filter(entry => entry.at > adaptMilliseconds);
 		system.runUntil(system.now + loadMilliseconds + 2000);
-		const served = asked.filter(({answers: [answer]}) => answer?.answer?.status === 200).length / asked.length;
+		const served = shareOf(asked, isServed);
 		t.ok(served > 0.9, `served ${served.toFixed(3)} with half of the deposits' upstreams broken`);
 		return system;
 	});
