Give two tests of whole nodes one manifest

Cause: the tests of standstills and of cancellation each held the same manifest but for its wait. Change: it stands once in the fixtures.

--- a/packages/node/src/tests/cancellation.test.ts
+++ b/packages/node/src/tests/cancellation.test.ts
@@ -9,21 +9,11 @@
 import {
 	checkSettings, ownDeployment, startDaemon, type Daemon,
 } from '../index.js';
-import {silent, silentLog} from './fixtures.js';
+import {lookManifest, silent, silentLog} from './fixtures.js';
 
 /** Time after a caller has left in which no upstream works for it any longer. */
 const cancelMilliseconds = 500;
-
-const manifest = `
-name: shop
-retriesPerAction: 0
-rememberForSeconds: 600
-retryShare: 0.1
-services:
-  shop:
-    requests:
-      - {kind: look, methods: [GET], path: /items*, importance: normal, semantics: idempotent, waitMilliseconds: 20000}
-`;
+const waitMilliseconds = 20_000;
 
 async function startNode(t: Test, name: string): Promise<{daemon: Daemon; callersPort: number}> {
 	const [callers, peers, control, store] = await findFreePorts(4);
@@ -31,7 +21,7 @@
 		name, region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers, peers, control}, store: {url: `http://127.0.0.1:${store}`}, stopSeconds: 1,
 	}), () => silentLog);
 	t.teardown(async () => daemon.stop());
-	daemon.core.post({type: CoreMessageType.ManifestArrived, revision: ownDeployment.toRevision(1, manifest)});
+	daemon.core.post({type: CoreMessageType.ManifestArrived, revision: ownDeployment.toRevision(1, lookManifest(waitMilliseconds))});
 	return {daemon, callersPort: callers!};
 }
 
--- a/packages/node/src/tests/fixtures.ts
+++ b/packages/node/src/tests/fixtures.ts
@@ -19,3 +19,15 @@
 		// Nothing else runs.
 	}
 }
+
+/** A manifest with one service that takes reads, and how long they may wait. */
+export const lookManifest = (waitMilliseconds: number): string => `
+name: shop
+retriesPerAction: 0
+rememberForSeconds: 600
+retryShare: 0.1
+services:
+  shop:
+    requests:
+      - {kind: look, methods: [GET], path: /items*, importance: normal, semantics: idempotent, waitMilliseconds: ${waitMilliseconds}}
+`;
--- a/packages/node/src/tests/standstill.test.ts
+++ b/packages/node/src/tests/standstill.test.ts
@@ -6,20 +6,10 @@
 import {request} from 'undici';
 import {CoreMessageType} from '../core-task.js';
 import {checkSettings, ownDeployment, startDaemon} from '../index.js';
-import {silentLog, standStill} from './fixtures.js';
+import {lookManifest, silentLog, standStill} from './fixtures.js';
 
 const standstillMilliseconds = 900;
-
-const manifest = `
-name: shop
-retriesPerAction: 0
-rememberForSeconds: 600
-retryShare: 0.1
-services:
-  shop:
-    requests:
-      - {kind: look, methods: [GET], path: /items*, importance: normal, semantics: idempotent, waitMilliseconds: 500}
-`;
+const waitMilliseconds = 500;
 
 /** Answers only while the other thread stands still. */
 const upstreamProgram = `
@@ -44,7 +34,7 @@
 		await daemon.stop();
 	});
 	const [port] = await once(upstream, 'message') as [number];
-	daemon.core.post({type: CoreMessageType.ManifestArrived, revision: ownDeployment.toRevision(1, manifest)});
+	daemon.core.post({type: CoreMessageType.ManifestArrived, revision: ownDeployment.toRevision(1, lookManifest(waitMilliseconds))});
 	daemon.core.post({
 		type: CoreMessageType.Announced, announcement: {
 			service: 'shop', address: `127.0.0.1:${port}`, slots: 4, connections: 4, state: AnnouncedState.Ready, load: undefined,
