Read the names of an answer once

Cause: the names by which an answer says whose it is were looked up three times for each answer of an upstream, by three readers of the same header, on the way of every call. Change: they are read once, and passed to those who judge by them. Its price was not measured.

--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -127,16 +127,17 @@
 
 	#report(effect: DispatchEffect, result: ExchangeResult): void {
 		const {callId} = effect;
+		const {requestId: name} = this.#headers;
+		const names = findHeaders(result.headers, name);
 		if (!result.success) {
-			const isOwn = result.failure !== ExchangeFailure.TooLarge || this.#isNamed(effect, result.headers);
+			const isOwn = result.failure !== ExchangeFailure.TooLarge || this.#isNamed(effect, names);
 			this.#core.post({type: CoreMessageType.UpstreamFailed, callId, failure: isOwn ? failures[result.failure] : UpstreamFailure.Broken});
 			return;
 		}
 
 		const {status, body, connection} = result;
-		const failure = this.#failureOf(effect, result);
-		const {requestId: name} = this.#headers;
-		if (failure !== undefined || (name !== undefined && findHeader(result.headers, name) === undefined)) {
+		const failure = this.#failureOf(effect, result, names);
+		if (failure !== undefined || (name !== undefined && names.length === 0)) {
 			// A second copy of this answer could not be told from one to a later call.
 			connection?.close();
 		}
@@ -147,11 +148,9 @@
 			: {type: CoreMessageType.UpstreamFailed, callId, failure});
 	}
 
-	/** Whether an answer names the request, where names are in use. */
-	#isNamed({requestId}: DispatchEffect, headers: readonly string[]): boolean {
-		const {requestId: name} = this.#headers;
-		const names = findHeaders(headers, name);
-		return name === undefined || requestId === '' || (names.length > 0 && names.every(text => text === requestId));
+	/** Whether an answer with these names is one to the request, where names are in use. */
+	#isNamed({requestId}: DispatchEffect, names: readonly string[]): boolean {
+		return this.#headers.requestId === undefined || requestId === '' || (names.length > 0 && names.every(name => name === requestId));
 	}
 
 	/** What an answer with the mark of a refusal says, if it answers this call. */
@@ -164,10 +163,9 @@
 	}
 
 	/** What an answer says beside its body: that the request was not run, or that the answer is not its own. */
-	#failureOf(effect: DispatchEffect, {status, headers, connection}: ExchangeAnswer): UpstreamFailure | undefined {
+	#failureOf(effect: DispatchEffect, {status, headers, connection}: ExchangeAnswer, names: readonly string[]): UpstreamFailure | undefined {
 		const {callId, requestId} = effect;
-		const {requestId: requestIdName, signature} = this.#headers;
-		const names = findHeaders(headers, requestIdName);
+		const {signature} = this.#headers;
 		if (names.some(name => name !== requestId)) {
 			this.#log.warn(`the answer to ${callId} belongs to request ${names.join(' or ')} in place of ${requestId}`);
 			return UpstreamFailure.Broken;
@@ -183,7 +181,7 @@
 			return isProof ? refusal : UpstreamFailure.Broken;
 		}
 
-		if (!this.#isNamed(effect, headers)) {
+		if (!this.#isNamed(effect, names)) {
 			this.#log.warn(`the answer to ${callId} names no request, and may be a second one of an earlier request`);
 			return UpstreamFailure.Broken;
 		}
