Send without end from one place in the tests of the operators' calls

Cause: the tests of the store's client and of the wait for nodes each had a sender without end, with the same bound. Change: one of them stands in floods.ts.

--- a/packages/manifest/src/tests/json-client.test.ts
+++ b/packages/manifest/src/tests/json-client.test.ts
@@ -1,12 +1,11 @@
-import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type Socket} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
 import {ErrorKind} from '@laburnumspool/core';
 import {test, type Test} from 'tap';
 import {JsonClient} from '../json-client.js';
+import {flood} from './floods.js';
 
-const mostSentBytes = 256 * 1024 * 1024;
 const mostTakenBytes = 32 * 1024 * 1024;
 const trickleMilliseconds = 10;
 const answerMilliseconds = 100;
@@ -16,18 +15,6 @@
 
 const head = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n';
 
-/** Sends the part again and again, as fast as it is read, until the other side closes. */
-function flood(socket: Socket, part: string): void {
-	const bytes = Buffer.from(part.repeat(Math.ceil(65_536 / part.length)));
-	const more = (): void => {
-		if (!socket.destroyed && socket.bytesWritten < mostSentBytes) {
-			socket.write(bytes, more);
-		}
-	};
-
-	more();
-}
-
 /** Sends a part now and then until the other side closes. */
 function trickle(socket: Socket, part: string): void {
 	const timer = setInterval(() => {
--- a/packages/manifest/src/tests/wait.test.ts
+++ b/packages/manifest/src/tests/wait.test.ts
@@ -1,25 +1,10 @@
-import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, type Socket} from 'node:net';
+import {createServer} from 'node:net';
 import {test} from 'tap';
 import {readLiveNodes, readSpread} from '../wait.js';
+import {flood} from './floods.js';
 
-const mostSentBytes = 256 * 1024 * 1024;
 const mostTakenBytes = 64 * 1024 * 1024;
-const part = Buffer.alloc(65_536, 'x');
-
-/** Sends again and again, as fast as it is read, until the other side closes. */
-function flood(socket: Socket): void {
-	const more = (): void => {
-		if (!socket.destroyed && socket.bytesWritten < mostSentBytes) {
-			socket.write(part, more);
-		} else {
-			socket.destroy();
-		}
-	};
-
-	more();
-}
 
 test('a node that answers without end is cut off, and counts as one that did not answer', async t => {
 	const closed: Array<Promise<number>> = [];
@@ -32,7 +17,7 @@
 		}));
 		socket.once('data', () => {
 			socket.write('HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n"');
-			flood(socket);
+			flood(socket, 'x');
 		});
 	}).listen(0, '127.0.0.1');
 	await once(server, 'listening');
