Read downloads, and leave out only the invalid parts of a manifest of routes

`download` is a semantics of both forms of the manifest: idempotent, with large answers. Beyond that value, a node now reads a manifest of routes part by part. A route with an invalid field is left out, and its requests are refused as not run, also where a shorter prefix would match them. A limit or a service with an invalid field is left out alone. Unknown semantics are read as at most once, which holds for every kind. The event of the adoption names the invalid fields, and the log line of a rejected document says which revision stays active, or that there is none. The operators' command still rejects a document with any invalid part.

--- a/packages/core/src/entry/attempt-limits.ts
+++ b/packages/core/src/entry/attempt-limits.ts
@@ -6,7 +6,7 @@
  */
 import {RetryBudget} from '../action/retry-budget.js';
 import {Importance} from '../importance.js';
-import {Semantics} from '../manifest/model.js';
+import {isIdempotent} from '../manifest/model.js';
 import type {EntryState} from './entry-call.js';
 import type {EntryDefinition} from './entry-definition.js';
 
@@ -44,7 +44,7 @@
 
 	/** Whether a call that may have run may be sent again: only idempotent ones are. */
 	tryRetry(state: EntryState): boolean {
-		return state.request.policy.semantics === Semantics.Idempotent && this.trySpendRetry(state);
+		return isIdempotent(state.request.policy.semantics) && this.trySpendRetry(state);
 	}
 
 	/**
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,6 +23,8 @@
 export * from './json.js';
 export * from './manifest/adoption.js';
 export * from './manifest/model.js';
+export * from './manifest/parse.js';
+export * from './manifest/routes-manifest.js';
 export * from './manifest/routes.js';
 export * from './membership/member.js';
 export * from './membership/member-table.js';
--- a/packages/core/src/manifest/adoption.ts
+++ b/packages/core/src/manifest/adoption.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
-import type {Manifest} from './model.js';
+import {formatIssue, type Manifest, type ManifestIssue} from './model.js';
+
+/** Bounds the length of a log line. */
+const maximumDescribedIssues = 8;
 
 /** A manifest with its revision number, which the store assigns or the document itself carries. */
 export type Revision = {
@@ -11,8 +14,17 @@
 	/** The document as shipped; peers pull it in this form. */
 	readonly document: string;
 	readonly manifest: Manifest;
+	/** Invalid parts of the document that the manifest lacks. */
+	readonly issues?: readonly ManifestIssue[];
 };
 
+/** Cause text of the event for a revision with invalid parts; no cause for one without. */
+export function describeIssues({issues = []}: Revision): {readonly cause?: string} {
+	const texts = issues.slice(0, maximumDescribedIssues).map(issue => formatIssue(issue));
+	const omitted = issues.length > texts.length ? [`and ${issues.length - texts.length} more`] : [];
+	return issues.length === 0 ? {} : {cause: `invalid parts are left out: ${[...texts, ...omitted].join('; ')}`};
+}
+
 /** Result of offering a revision. */
 export enum AdoptionResult {
 	Adopted = 'adopted',
--- a/packages/core/src/manifest/request-policy.ts
+++ b/packages/core/src/manifest/request-policy.ts
@@ -6,12 +6,24 @@
 import * as valibot from 'valibot';
 import {Importance} from '../importance.js';
 
-/** Whether a request may be sent more than once. */
+/** Whether a request may be sent more than once, and whether its answer may be large. */
 export enum Semantics {
 	Idempotent = 'idempotent',
+	/** Idempotent. The body of an answer that exceeds a buffer is passed on while it arrives. */
+	Download = 'download',
 	AtMostOnce = 'at-most-once',
 }
 
+/**
+ * Whether a request may be sent more than once.
+ *
+ * @example
+ * isIdempotent(Semantics.Download); // true
+ */
+export function isIdempotent(semantics: Semantics): boolean {
+	return semantics !== Semantics.AtMostOnce;
+}
+
 export const maximumWaitMilliseconds = 600_000;
 const maximumAttempts = 16;
 
--- a/packages/core/src/manifest/routes.ts
+++ b/packages/core/src/manifest/routes.ts
@@ -15,7 +15,8 @@
 
 const nonEmptyStringSchema = valibot.pipe(valibot.string(), valibot.minLength(1));
 const millisecondsSchema = valibot.pipe(valibot.number(), valibot.minValue(1), valibot.maxValue(maximumWaitMilliseconds));
-const pathPrefixSchema = valibot.pipe(valibot.string(), valibot.startsWith('/'), valibot.endsWith('/'));
+/** Path prefix of a route; begins and ends with a slash. */
+export const pathPrefixSchema = valibot.pipe(valibot.string(), valibot.startsWith('/'), valibot.endsWith('/'));
 
 const splitSchema = valibot.pipe(valibot.array(valibot.object({
 	service: nonEmptyStringSchema,
@@ -52,15 +53,26 @@
 /** One service of a split route. */
 export type WeightedService = {readonly service: string; readonly weight: number};
 
-/** One route. */
-export type Route = {
-	readonly name: string;
+/** What the requests of a route have in common. */
+export type RouteAddress = {
 	readonly host: string;
 	readonly prefix: string;
+};
+
+/** One route. */
+export type Route = RouteAddress & {
+	readonly name: string;
 	readonly services: readonly WeightedService[];
 	readonly policy: RequestPolicy;
 };
 
+/** A route that a node could not read. Its requests are refused, and not matched by a shorter prefix. */
+export type InvalidRoute = RouteAddress & {
+	readonly name: string;
+	/** The invalid fields. */
+	readonly detail: string;
+};
+
 const importancesByRank: readonly Importance[] = [Importance.Critical, Importance.High, Importance.Normal, Importance.Low];
 
 /** Importance of a numeric rank. 0 is critical; ranks of 3 and above are low. */
@@ -104,15 +116,15 @@
  * const table = new RouteTable(routes);
  * table.findRoute('shop.example:8080', '/designs/12?size=2');
  */
-export class RouteTable {
-	readonly #byHost = new Map<string, Route[]>();
+export class RouteTable<Entry extends RouteAddress = Route> {
+	readonly #byHost = new Map<string, Entry[]>();
 
-	constructor(routes: readonly Route[]) {
+	constructor(routes: readonly Entry[]) {
 		const longestFirst = routes.toSorted((left, right) => right.prefix.length - left.prefix.length);
 		longestFirst.map(route => this.#byHost.set(route.host, [...(this.#byHost.get(route.host) ?? []), route]));
 	}
 
-	findRoute(host: string, target: string): Route | undefined {
+	findRoute(host: string, target: string): Entry | undefined {
 		const queryStart = target.indexOf('?');
 		const path = queryStart === -1 ? target : target.slice(0, queryStart);
 		return this.#byHost.get(withoutPort(host))?.find(route => path.startsWith(route.prefix));
--- a/packages/core/src/node/active-manifest.ts
+++ b/packages/core/src/node/active-manifest.ts
@@ -4,8 +4,10 @@
  * @module
  */
 import {AdoptionResult, ManifestAdoption, type Revision} from '../manifest/adoption.js';
-import {RouteTable, SplitSelector} from '../manifest/routes.js';
-import {Semantics, type RequestPolicy} from '../manifest/model.js';
+import {isIdempotent, type RequestPolicy} from '../manifest/model.js';
+import {
+	RouteTable, SplitSelector, type InvalidRoute, type Route,
+} from '../manifest/routes.js';
 import type {CallerRequest} from './effects.js';
 
 /** Longest time for which a request is held for a revision that is known to exist. */
@@ -25,7 +27,7 @@
 	/** Policies by `SERVICE/KIND`. */
 	readonly policies = new Map<string, RequestPolicy>();
 	readonly splitSelector = new SplitSelector();
-	#routes: RouteTable | undefined;
+	#routes: RouteTable<Route | InvalidRoute> | undefined;
 	#heldRequests: CallerRequest[] = [];
 	#behindSince = Infinity;
 	#nextPullAt = 0;
@@ -35,7 +37,7 @@
 	}
 
 	/** Routes by host and path prefix; undefined when the manifest has none. */
-	get routes(): RouteTable | undefined {
+	get routes(): RouteTable<Route | InvalidRoute> | undefined {
 		return this.#routes;
 	}
 
@@ -46,7 +48,7 @@
 	/** Whether the service has request kinds with at-most-once semantics. */
 	hasAtMostOnce(service: string): boolean {
 		const requests = this.current?.manifest.services[service]?.requests ?? [];
-		return requests.some(request => request.semantics === Semantics.AtMostOnce);
+		return requests.some(request => !isIdempotent(request.semantics));
 	}
 
 	/** Makes a revision active; returns false when it is not newer than the active one. */
@@ -55,11 +57,11 @@
 			return false;
 		}
 
-		const {routes, services} = revision.manifest;
+		const {routes, invalidRoutes = [], services} = revision.manifest;
 		this.#behindSince = this.adoption.isBehind ? this.#behindSince : Infinity;
 		this.policies.clear();
 		this.splitSelector.reset();
-		this.#routes = routes === undefined ? undefined : new RouteTable(routes);
+		this.#routes = routes === undefined ? undefined : new RouteTable<Route | InvalidRoute>([...routes, ...invalidRoutes]);
 		Object.entries(services).map(([service, {requests}]) => requests.map(request =>
 			this.policies.set(`${service}/${request.kind}`, request)));
 		return true;
--- a/packages/core/src/node/caller-requests.ts
+++ b/packages/core/src/node/caller-requests.ts
@@ -11,9 +11,11 @@
 import {ErrorKind} from '../errors.js';
 import {cohortOf, priorityOf} from '../importance.js';
 import {
-	matchRequest, Semantics, type Manifest, type RequestPolicy,
+	isIdempotent, matchRequest, type Manifest, type RequestPolicy,
 } from '../manifest/model.js';
-import type {RouteTable, SplitSelector} from '../manifest/routes.js';
+import type {
+	InvalidRoute, Route, RouteTable, SplitSelector,
+} from '../manifest/routes.js';
 import type {CallError} from '../messages.js';
 import type {ParentCall} from '../serving/serving-coordinator.js';
 import type {CallerRequest} from './effects.js';
@@ -24,7 +26,7 @@
 export type RequestContext = {
 	readonly manifest: Manifest;
 	/** Routes of the manifest; undefined when it has none. */
-	readonly routes: RouteTable | undefined;
+	readonly routes: RouteTable<Route | InvalidRoute> | undefined;
 	readonly splitSelector: SplitSelector;
 	readonly parentOf: (callId: string | undefined) => ParentCall | undefined;
 	/** The running call that serves the request with this id. */
@@ -86,9 +88,13 @@
 	const {method, target} = caller.request;
 	if (routes !== undefined) {
 		const route = routes.findRoute(caller.host ?? '', target);
-		return route === undefined
-			? {kind: ErrorKind.UnknownRequestKind, detail: `No route of host ${caller.host ?? ''} has a prefix of ${target.split('?')[0]}`}
-			: {service: splitSelector.select(route), policy: route.policy};
+		if (route === undefined) {
+			return {kind: ErrorKind.UnknownRequestKind, detail: `No route of host ${caller.host ?? ''} has a prefix of ${target.split('?')[0]}`};
+		}
+
+		return 'policy' in route
+			? {service: splitSelector.select(route), policy: route.policy}
+			: {kind: ErrorKind.NotReady, detail: `Route ${route.name} of the manifest is invalid: ${route.detail}`};
 	}
 
 	const service = manifest.services[caller.service];
@@ -124,7 +130,7 @@
 }
 
 function keyFor(caller: CallerRequest, policy: RequestPolicy, parent: ParentCall | undefined, context: RequestContext): string | undefined {
-	const isKeyless = policy.semantics === Semantics.Idempotent || context.routes !== undefined;
+	const isKeyless = isIdempotent(policy.semantics) || context.routes !== undefined;
 	if (isKeyless) {
 		return undefined;
 	}
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -9,7 +9,7 @@
 import {ErrorKind, Outcome} from '../errors.js';
 import {EventType, toEvent, type EventDetails} from '../events/event.js';
 import {HybridClock, type HybridTime} from '../events/hybrid-clock.js';
-import type {Revision} from '../manifest/adoption.js';
+import {describeIssues, type Revision} from '../manifest/adoption.js';
 import {UpstreamState, type Member} from '../membership/member.js';
 import {Membership} from '../membership/membership.js';
 import type {GossipMessage} from '../membership/messages.js';
@@ -243,7 +243,7 @@
 
 		this.#updateAtMostOnceService();
 		const broadcast = this.#handleMembershipEffects(this.#membership.broadcast({topic: manifestTopic, version: revision.number}), now);
-		const event = this.#event({type: EventType.ManifestAdopted, detail: `revision ${revision.number}`});
+		const event = this.#event({type: EventType.ManifestAdopted, detail: `revision ${revision.number}`, ...describeIssues(revision)});
 		return [event, ...broadcast, ...this.#resumeHeldRequests(now)];
 	}
 
--- a/packages/core/src/serving/serving-coordinator.ts
+++ b/packages/core/src/serving/serving-coordinator.ts
@@ -10,7 +10,7 @@
 	AdmissionEffectType, CancelResult, DispatchOutcome, type AdmissionEffect, type Work,
 } from '../admission/work.js';
 import {ErrorKind, Outcome} from '../errors.js';
-import {Semantics, type RequestPolicy} from '../manifest/model.js';
+import {isIdempotent, type RequestPolicy} from '../manifest/model.js';
 import type {AnswerPayload, CallError, CallFrame} from '../messages.js';
 import {AtMostOnceEffectType, type AtMostOnceEffect} from '../at-most-once/messages.js';
 import type {AtMostOnceCoordinator} from '../at-most-once/at-most-once-coordinator.js';
@@ -170,7 +170,7 @@
 			kind: frame.kind,
 			importance: frame.importance,
 			priority: frame.priority,
-			idempotent: frame.semantics === Semantics.Idempotent,
+			idempotent: isIdempotent(frame.semantics),
 			deadline: now + frame.timeLeftMilliseconds,
 			arrivedAt: now,
 			guaranteedShare: this.#definition.policyOf(frame.service, frame.kind)?.guaranteedShare ?? 0,
--- a/packages/node/src/store-task.ts
+++ b/packages/node/src/store-task.ts
@@ -178,7 +178,8 @@
 		try {
 			core.post({type: CoreMessageType.ManifestArrived, revision: readManifest(entry)});
 		} catch (error) {
-			log.error(`the manifest at version ${entry.version} is invalid and was not adopted: ${error instanceof Error ? error.message : String(error)}`);
+			const active = core.core.manifest === undefined ? 'the node has none' : `revision ${core.core.manifest.number} stays active`;
+			log.error(`the manifest at version ${entry.version} is invalid and was not adopted, ${active}: ${error instanceof Error ? error.message : String(error)}`);
 		}
 	}
 
