--- a/packages/core/src/admission/admission-controller.ts
+++ b/packages/core/src/admission/admission-controller.ts
@@ -137,6 +137,11 @@
 		return {result: CancelResult.NotRun, effects};
 	}
 
+	/** Protects a running call from preemption, because part of its answer has been sent. */
+	answerStarted(callId: string): void {
+		this.#running.markAnswering(callId);
+	}
+
 	/**
 	 * Releases the slot of a dispatched call and dispatches waiting calls.
 	 *
--- a/packages/core/src/admission/running-work.ts
+++ b/packages/core/src/admission/running-work.ts
@@ -13,6 +13,8 @@
 	readonly inFlight: number;
 	/** Whether its cancellation was requested. It holds its slot until the dispatch to the upstream ends. */
 	isCancelled: boolean;
+	/** Whether part of its answer has been sent, so that it is not preempted. */
+	isAnswering: boolean;
 };
 
 /**
@@ -46,7 +48,7 @@
 
 	add(work: Work, now: number): void {
 		this.#entries.set(work.callId, {
-			work, startedAt: now, inFlight: this.#entries.size + 1, isCancelled: false,
+			work, startedAt: now, inFlight: this.#entries.size + 1, isCancelled: false, isAnswering: false,
 		});
 		this.#countByKind.set(work.kind, this.countOf(work.kind) + 1);
 	}
@@ -75,10 +77,17 @@
 		return entry.work;
 	}
 
+	markAnswering(callId: string): void {
+		const entry = this.#entries.get(callId);
+		if (entry !== undefined) {
+			entry.isAnswering = true;
+		}
+	}
+
 	/** The least important idempotent call below the rank. Of equally important calls, the one that started last. */
 	leastImportantBelow(rank: number): RunningEntry | undefined {
 		return [...this.#entries.values()]
-			.filter(entry => entry.work.idempotent && !entry.isCancelled && rankOf(entry.work.importance) < rank)
+			.filter(entry => entry.work.idempotent && !entry.isCancelled && !entry.isAnswering && rankOf(entry.work.importance) < rank)
 			.reduce<RunningEntry | undefined>((least, entry) => least === undefined || isLessImportant(entry, least) ? entry : least, undefined);
 	}
 
--- a/packages/core/src/entry/entry-call.ts
+++ b/packages/core/src/entry/entry-call.ts
@@ -7,7 +7,7 @@
 import type {RequestPolicy} from '../manifest/model.js';
 import type {Member} from '../membership/member.js';
 import type {
-	ActionContext, CallerAnswer, CallError, CallFrame, RequestPayload,
+	ActionContext, AnswerHead, CallerAnswer, CallError, CallFrame, RequestPayload,
 } from '../messages.js';
 import type {Importance} from '../importance.js';
 import type {Outcome} from '../errors.js';
@@ -65,6 +65,8 @@
 	Send = 'send',
 	CancelAtPeer = 'cancel-at-peer',
 	AnswerCaller = 'answer-caller',
+	/** The body of the answer follows in a stream, before `AnswerCaller` ends it. */
+	StartAnswer = 'start-answer',
 	Retried = 'retried',
 	StaleAnswer = 'stale-answer',
 	/** The known record of the service's key ranges is probably out of date. */
@@ -76,6 +78,7 @@
 	= | {readonly type: EntryEffectType.Send; readonly destination: Destination; readonly frame: CallFrame}
 		| {readonly type: EntryEffectType.CancelAtPeer; readonly member: Member; readonly callId: string}
 		| {readonly type: EntryEffectType.AnswerCaller; readonly entryId: number; readonly answer: CallerAnswer; readonly request: EntryRequest}
+		| {readonly type: EntryEffectType.StartAnswer; readonly entryId: number; readonly callId: string; readonly head: AnswerHead}
 		| {readonly type: EntryEffectType.Retried; readonly request: EntryRequest; readonly error: CallError}
 		| {readonly type: EntryEffectType.StaleAnswer; readonly callId: string}
 		| {readonly type: EntryEffectType.RangeOutdated; readonly service: string; readonly error: CallError};
@@ -118,6 +121,8 @@
 	lastRefusalCoversAction: boolean;
 	hasTriedLastResort: boolean;
 	isCallerGone: boolean;
+	/** Whether the caller has received the head of the answer, so that the call cannot be sent again. */
+	hasStartedAnswer: boolean;
 	/** Time until which the reply to the cancellation is awaited. */
 	cancelDeadline: number;
 	/** Earliest time of the next lookup of the destination. */
--- a/packages/core/src/entry/entry-coordinator.ts
+++ b/packages/core/src/entry/entry-coordinator.ts
@@ -9,7 +9,9 @@
 import {CancelResult} from '../admission/work.js';
 import {errorAnswers, ErrorKind, Outcome} from '../errors.js';
 import {Importance} from '../importance.js';
-import type {AnswerFrame, CallError, CallFrame} from '../messages.js';
+import type {
+	AnswerFrame, AnswerHead, CallError, CallFrame,
+} from '../messages.js';
 import {AttemptLimits} from './attempt-limits.js';
 import {
 	EntryEffectType, EntryPhase, LocateResultType, type Destination, type EntryEffect, type EntryRequest, type EntryState, type SentCall,
@@ -71,6 +73,7 @@
 			lastRefusalCoversAction: false,
 			hasTriedLastResort: false,
 			isCallerGone: false,
+			hasStartedAnswer: false,
 			cancelDeadline: 0,
 			nextLocateAt: 0,
 		};
@@ -78,6 +81,19 @@
 		return this.#locateAndSend(state, now);
 	}
 
+	/** Passes the head of an answer on to the caller. Its body follows in a stream, and `receive` ends it. */
+	answerStarted(callId: string, head: AnswerHead): EntryEffect[] {
+		const state = this.#stateOf(callId);
+		if (state === undefined || state.isCallerGone) {
+			return [];
+		}
+
+		state.hasStartedAnswer = true;
+		return [{
+			type: EntryEffectType.StartAnswer, entryId: state.request.entryId, callId, head,
+		}];
+	}
+
 	/** Processes the answer of a serving node. An answer that belongs to no open call is reported as stale and dropped. */
 	receive(frame: AnswerFrame, now: number): EntryEffect[] {
 		const state = this.#stateOf(frame.callId);
@@ -95,12 +111,13 @@
 
 		this.#closeSentCall(state);
 		state.request.retryQuota.reclaim(sentCall.delegatedRetries, frame.retriesSpent);
-		if (frame.error === undefined && frame.answer !== undefined) {
+		const isStreamMissing = frame.answer?.isStreamed === true && !state.hasStartedAnswer;
+		if (frame.error === undefined && frame.answer !== undefined && !isStreamMissing) {
 			this.#limits.recordSuccess(state.request.service);
 			return this.#answerCaller(state, frame.outcome, undefined, frame);
 		}
 
-		const {kind, detail} = frame.error ?? {kind: ErrorKind.UpstreamBroken, detail: 'The answer frame carries neither an answer nor an error'};
+		const {kind, detail} = frame.error ?? {kind: ErrorKind.UpstreamBroken, detail: 'The answer frame carries neither a complete answer nor an error'};
 		const error = {kind, detail: `${detail}, at ${sentCall.destination.member.name}`};
 		state.lastRefusalCoversAction = frame.coversAction;
 		return this.#afterFailure(state, sentCall.destination, frame.outcome, error, now);
@@ -280,7 +297,7 @@
 		}
 
 		const errorAnswer = errorAnswers[error.kind];
-		if (now < state.request.deadline && state.phase !== EntryPhase.Cancelling) {
+		if (now < state.request.deadline && state.phase !== EntryPhase.Cancelling && !state.hasStartedAnswer) {
 			if (outcome === Outcome.NotRun && isPrimaryChanging && this.#limits.tryOfferAgain(state)) {
 				return this.#locateLater(state, error, now);
 			}
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -27,6 +27,16 @@
 	readonly status: number;
 	readonly headers: RawHeaders;
 	readonly body: Uint8Array;
+	/** Whether the body was passed on while it arrived, and is now complete. `body` is empty then. */
+	readonly isStreamed?: boolean;
+};
+
+/** Status and headers of an answer whose body follows as a stream. */
+export type AnswerHead = {
+	readonly status: number;
+	readonly headers: RawHeaders;
+	/** Length of the body; undefined when the upstream does not state it. */
+	readonly bodyBytes: number | undefined;
 };
 
 /** Identifies a customer action across the call chain. */
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -13,10 +13,12 @@
 import {EventType} from '../events/event.js';
 import type {HybridClock} from '../events/hybrid-clock.js';
 import type {ManifestAdoption} from '../manifest/adoption.js';
-import type {RequestPolicy} from '../manifest/model.js';
+import {Semantics, type RequestPolicy} from '../manifest/model.js';
 import {UpstreamState, type Member} from '../membership/member.js';
 import type {Membership} from '../membership/membership.js';
-import type {AnswerFrame, CallerAnswer, CallFrame} from '../messages.js';
+import type {
+	AnswerFrame, AnswerHead, CallerAnswer, CallFrame,
+} from '../messages.js';
 import type {AtMostOnceCoordinator} from '../at-most-once/at-most-once-coordinator.js';
 import type {RangeDirectory} from '../at-most-once/range-directory.js';
 import type {Router} from '../routing/router.js';
@@ -70,6 +72,9 @@
 		[EntryEffectType.Send]: ({destination, frame}, now) => this.#sendCall(destination.member, frame, now),
 		[EntryEffectType.CancelAtPeer]: ({member, callId}, now) => this.#cancelCall(member, callId, now),
 		[EntryEffectType.AnswerCaller]: ({entryId, answer, request}, now) => this.#answerCaller(entryId, answer, request, now),
+		[EntryEffectType.StartAnswer]: ({entryId, callId, head}) => [{
+			type: NodeEffectType.StartCallerAnswer, entryId, callId, head,
+		}],
 		[EntryEffectType.Retried]: ({request, error}) => [this.#requestEvent(EventType.Retried, request, error.kind, error.detail)],
 		[EntryEffectType.StaleAnswer]: ({callId}) => [this.#dependencies.makeEvent({type: EventType.StaleAnswer, detail: callId})],
 		[EntryEffectType.RangeOutdated]: ({service}) => {
@@ -83,6 +88,7 @@
 		[ServingEffectType.CancelDispatch]: ({callId}) => [{type: NodeEffectType.CancelDispatch, callId}],
 		[ServingEffectType.CancelNested]: ({callId}, now) => this.#cancelNestedCalls(callId, now),
 		[ServingEffectType.Answer]: ({frame}, now) => this.#answerCall(frame, now),
+		[ServingEffectType.AnswerStarted]: ({callId, head}, now) => this.#startAnswer(callId, head, now),
 		[ServingEffectType.AtMostOnce]: ({effect}) => this.#dependencies.atMostOnceEffects.translate(effect),
 		[ServingEffectType.Admitted]: ({frame}) => [this.#callEvent(EventType.Admitted, frame, frame.callId)],
 		[ServingEffectType.Preempted]: ({frame}) => [this.#callEvent(EventType.Preempted, frame, frame.callId)],
@@ -194,9 +200,16 @@
 			...formatTraceContext(context, spanId, frame.callId),
 			timeLeftMilliseconds,
 			answerBytesLimit: frame.answerBytesLimit,
+			canStream: frame.semantics === Semantics.Download,
 		};
 	}
 
+	#startAnswer(callId: string, head: AnswerHead, now: number): NodeEffect[] {
+		return this.#localCalls.has(callId)
+			? this.handleEntryEffects(this.entry.answerStarted(callId, head), now)
+			: [{type: NodeEffectType.SendAnswerHead, callId, head}];
+	}
+
 	#answerCall(frame: AnswerFrame, now: number): NodeEffect[] {
 		return this.#localCalls.delete(frame.callId)
 			? this.handleEntryEffects(this.entry.receive(frame, now), now)
--- a/packages/core/src/node/effects.ts
+++ b/packages/core/src/node/effects.ts
@@ -8,7 +8,7 @@
 import type {Member} from '../membership/member.js';
 import type {Address, GossipMessage} from '../membership/messages.js';
 import type {
-	AnswerFrame, CallerAnswer, CallFrame, RequestPayload,
+	AnswerFrame, AnswerHead, CallerAnswer, CallFrame, RequestPayload,
 } from '../messages.js';
 import type {AtMostOnceMessage} from '../at-most-once/messages.js';
 import type {Holder, RangeRecord} from '../at-most-once/record.js';
@@ -64,8 +64,12 @@
 export enum NodeEffectType {
 	SendCall = 'send-call',
 	SendAnswer = 'send-answer',
+	/** The body of the answer follows in a stream, before `SendAnswer` ends it. */
+	SendAnswerHead = 'send-answer-head',
 	SendCancel = 'send-cancel',
 	AnswerCaller = 'answer-caller',
+	/** The body of the answer follows in a stream, before `AnswerCaller` ends it. */
+	StartCallerAnswer = 'start-caller-answer',
 	UpstreamAnnounced = 'upstream-announced',
 	Dispatch = 'dispatch',
 	CancelDispatch = 'cancel-dispatch',
@@ -85,10 +89,12 @@
 export type NodeEffect
 	= | {readonly type: NodeEffectType.SendCall; readonly to: Member; readonly frame: CallFrame; readonly clock: HybridTime}
 		| {readonly type: NodeEffectType.SendAnswer; readonly frame: AnswerFrame; readonly clock: HybridTime}
+		| {readonly type: NodeEffectType.SendAnswerHead; readonly callId: string; readonly head: AnswerHead}
+		| {readonly type: NodeEffectType.StartCallerAnswer; readonly entryId: number; readonly callId: string; readonly head: AnswerHead}
 		| {readonly type: NodeEffectType.SendCancel; readonly to: Member; readonly callId: string}
 		| {readonly type: NodeEffectType.AnswerCaller; readonly entryId: number; readonly answer: CallerAnswer}
 		| {readonly type: NodeEffectType.UpstreamAnnounced; readonly announcement: Announcement}
-		| {readonly type: NodeEffectType.Dispatch; readonly callId: string; readonly requestId: string; readonly request: RequestPayload; readonly traceparent: string; readonly tracestate: string; readonly timeLeftMilliseconds: number; readonly answerBytesLimit: number}
+		| {readonly type: NodeEffectType.Dispatch; readonly callId: string; readonly requestId: string; readonly request: RequestPayload; readonly traceparent: string; readonly tracestate: string; readonly timeLeftMilliseconds: number; readonly answerBytesLimit: number; /** Whether a large answer is passed on while it arrives. */ readonly canStream: boolean}
 		| {readonly type: NodeEffectType.CancelDispatch; readonly callId: string}
 		| {readonly type: NodeEffectType.SendGossip; readonly to: Address; readonly message: GossipMessage; readonly clock: HybridTime}
 		| {readonly type: NodeEffectType.ExchangeMembers; readonly to: Member}
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -14,7 +14,9 @@
 import {Membership} from '../membership/membership.js';
 import type {GossipMessage} from '../membership/messages.js';
 import {manifestTopic, rangesTopic} from '../membership/rumors.js';
-import type {AnswerFrame, AnswerPayload, CallFrame} from '../messages.js';
+import type {
+	AnswerFrame, AnswerHead, AnswerPayload, CallFrame,
+} from '../messages.js';
 import type {AtMostOnceMessage} from '../at-most-once/messages.js';
 import type {WriteResult} from '../at-most-once/at-most-once-definition.js';
 import {AtMostOnceCoordinator} from '../at-most-once/at-most-once-coordinator.js';
@@ -186,6 +188,11 @@
 		return concatenateEffects(pulls, this.#flow.handleEntryEffects(this.#flow.entry.receive(frame, now), now));
 	}
 
+	/** Processes the head of an answer to a call of this node. Its body follows in a stream, and `callAnswered` ends it. */
+	callStarted(callId: string, head: AnswerHead, now: number): NodeEffect[] {
+		return this.#flow.handleEntryEffects(this.#flow.entry.answerStarted(callId, head), now);
+	}
+
 	callFailed(callId: string, failure: SendFailure, now: number): NodeEffect[] {
 		return this.#flow.handleEntryEffects(this.#flow.entry.sendFailed(callId, failure, now), now);
 	}
@@ -203,6 +210,11 @@
 		return this.#flow.handleServingEffects(this.#flow.serving.upstreamAnswered(callId, answer, now), now);
 	}
 
+	/** Processes the head of an answer whose body follows in a stream, which `upstreamAnswered` or `upstreamFailed` ends. */
+	upstreamStarted(callId: string, head: AnswerHead, now: number): NodeEffect[] {
+		return this.#flow.handleServingEffects(this.#flow.serving.upstreamStarted(callId, head), now);
+	}
+
 	upstreamFailed(callId: string, failure: UpstreamFailure, now: number): NodeEffect[] {
 		return this.#flow.handleServingEffects(this.#flow.serving.upstreamFailed(callId, failure, now), now);
 	}
--- a/packages/core/src/serving/served-call.ts
+++ b/packages/core/src/serving/served-call.ts
@@ -6,7 +6,7 @@
 import type {RetryQuota} from '../action/retry-quota.js';
 import type {Work} from '../admission/work.js';
 import type {ErrorKind} from '../errors.js';
-import type {AnswerFrame, CallFrame} from '../messages.js';
+import type {AnswerFrame, AnswerHead, CallFrame} from '../messages.js';
 import type {AtMostOnceEffect} from '../at-most-once/messages.js';
 import type {NestedTime} from './nested-time.js';
 
@@ -30,6 +30,8 @@
 	Dispatch = 'dispatch-upstream',
 	CancelDispatch = 'cancel-upstream',
 	Answer = 'answer-peer',
+	/** The body of the answer follows in a stream, before `Answer` ends it. */
+	AnswerStarted = 'answer-started',
 	/** Cancels the calls that the upstream made on behalf of this call. */
 	CancelNested = 'cancel-nested',
 	AtMostOnce = 'once',
@@ -43,6 +45,7 @@
 	= | {readonly type: ServingEffectType.Dispatch; readonly frame: CallFrame; readonly timeLeftMilliseconds: number}
 		| {readonly type: ServingEffectType.CancelDispatch; readonly callId: string}
 		| {readonly type: ServingEffectType.CancelNested; readonly callId: string}
+		| {readonly type: ServingEffectType.AnswerStarted; readonly callId: string; readonly head: AnswerHead}
 		| {readonly type: ServingEffectType.Answer; readonly frame: AnswerFrame}
 		| {readonly type: ServingEffectType.AtMostOnce; readonly effect: AtMostOnceEffect}
 		| {readonly type: ServingEffectType.Admitted; readonly frame: CallFrame}
--- a/packages/core/src/serving/serving-coordinator.ts
+++ b/packages/core/src/serving/serving-coordinator.ts
@@ -11,7 +11,9 @@
 } from '../admission/work.js';
 import {ErrorKind, Outcome} from '../errors.js';
 import {isIdempotent, type RequestPolicy} from '../manifest/model.js';
-import type {AnswerPayload, CallError, CallFrame} from '../messages.js';
+import type {
+	AnswerHead, AnswerPayload, CallError, CallFrame,
+} from '../messages.js';
 import {AtMostOnceEffectType, type AtMostOnceEffect} from '../at-most-once/messages.js';
 import type {AtMostOnceCoordinator} from '../at-most-once/at-most-once-coordinator.js';
 import {OpenResultType, type AtMostOnceCall} from '../at-most-once/attempt.js';
@@ -119,6 +121,16 @@
 		return {result, effects: this.#applyAdmissionEffects(effects, now)};
 	}
 
+	/** The upstream has started an answer whose body follows in a stream. The call keeps its slot and is no longer preempted. */
+	upstreamStarted(callId: string, head: AnswerHead): ServingEffect[] {
+		if (!this.#calls.has(callId)) {
+			return [];
+		}
+
+		this.#definition.admission.answerStarted(callId);
+		return [{type: ServingEffectType.AnswerStarted, callId, head}];
+	}
+
 	upstreamAnswered(callId: string, answer: AnswerPayload, now: number): ServingEffect[] {
 		const call = this.#calls.get(callId);
 		if (call === undefined) {
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -12,15 +12,17 @@
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
-	ErrorKind, LaburnumspoolError, NodeEffectType, type CallerAnswer, type CallerLimits, type CallerRequest,
+	ErrorKind, LaburnumspoolError, NodeEffectType, Outcome, type AnswerHead, type CallerAnswer, type CallerLimits, type CallerRequest, type NodeEffect,
 } from '@laburnumspool/core';
+import type {AnswerStreams} from './answer-streams.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
 	emptyBody, filterHeaders, hasBody, HeaderName, readBody, sendClientError, sendProblem, toCallError,
 } from './http-messages.js';
-import {OpenRequests} from './open-requests.js';
+import {OpenRequests, type OpenRequest} from './open-requests.js';
 import {isNodePath, type NodeInterface} from './node-interface.js';
 import type {HeaderNames} from './settings.js';
+import {StreamedAnswer} from './streamed-answer.js';
 
 /** Limit of the HTTP parser. A higher limit in the manifest has no effect. */
 const parserHeaderBytes = 128 * 1024;
@@ -38,8 +40,11 @@
 const incompleteRequestCode = 'HPE_INVALID_EOF_STATE';
 const reservedAnswerHeaders: ReadonlySet<string> = new Set([HeaderName.Outcome, HeaderName.Attempts]);
 
+type StartAnswerEffect = Extract<NodeEffect, {type: NodeEffectType.StartCallerAnswer}>;
+
 export type CallersServerDefinition = {
 	readonly core: CoreTask;
+	readonly streams: AnswerStreams;
 	readonly requestBytes: number;
 	readonly openRequests: number;
 	readonly slowSenderMilliseconds: number;
@@ -101,6 +106,9 @@
 			}
 		});
 		definition.core.handle({
+			[NodeEffectType.StartCallerAnswer]: effect => {
+				this.#startAnswer(effect);
+			},
 			[NodeEffectType.AnswerCaller]: ({entryId, answer}) => {
 				this.#sendAnswer(entryId, answer);
 			},
@@ -233,28 +241,69 @@
 			return;
 		}
 
-		const {response, socket, startedAt, requestId} = openRequest;
+		const {response, startedAt, streamedAnswer} = openRequest;
 		this.#definition.observeAnswer(answer.outcome, performance.now() - startedAt);
+		if (streamedAnswer !== undefined) {
+			if (answer.answer?.isStreamed === true) {
+				streamedAnswer.finish();
+			} else {
+				streamedAnswer.breakOff();
+			}
 
-		if ((this.#isStopping || this.#openRequests.isUnreadable(socket)) && this.#openRequests.closeWithAnswer(entryId, socket)) {
-			response.shouldKeepAlive = false;
+			return;
 		}
 
+		this.#closeConnectionIfLast(entryId, openRequest);
 		if (answer.answer === undefined) {
 			sendProblem(response, answer.error ?? {kind: ErrorKind.UpstreamBroken, detail: 'No answer was received'}, answer.outcome, answer.attempts);
 			return;
 		}
 
-		const {status, headers, body} = answer.answer;
+		const {status, body} = answer.answer;
+		const headerPairs = this.#toAnswerHeaders(openRequest, answer.answer);
+		headerPairs.push(HeaderName.Outcome, answer.outcome, HeaderName.Attempts, String(answer.attempts), 'content-length', String(body.length));
+		response.writeHead(status, headerPairs);
+		response.end(body);
+	}
+
+	/** Sends the head of an answer whose body follows. Its attempts are not known yet. */
+	#startAnswer({entryId, callId, head}: StartAnswerEffect): void {
+		const openRequest = this.#openRequests.get(entryId);
+		if (openRequest === undefined) {
+			return;
+		}
+
+		const {response} = openRequest;
+		this.#closeConnectionIfLast(entryId, openRequest);
+		const headerPairs = this.#toAnswerHeaders(openRequest, head);
+		headerPairs.push(HeaderName.Outcome, Outcome.Ran);
+		if (head.bodyBytes !== undefined) {
+			headerPairs.push('content-length', String(head.bodyBytes));
+		}
+
+		response.writeHead(head.status, headerPairs);
+		const streamedAnswer = new StreamedAnswer(response, head.bodyBytes, bytes => {
+			this.#definition.streams.consumed(callId, bytes);
+		});
+		openRequest.streamedAnswer = streamedAnswer;
+		this.#definition.streams.attach(callId, streamedAnswer);
+	}
+
+	/** While the node stops, the answer to the last request of a connection closes the connection. */
+	#closeConnectionIfLast(entryId: number, {response, socket}: OpenRequest): void {
+		if ((this.#isStopping || this.#openRequests.isUnreadable(socket)) && this.#openRequests.closeWithAnswer(entryId, socket)) {
+			response.shouldKeepAlive = false;
+		}
+	}
+
+	#toAnswerHeaders({requestId}: OpenRequest, {headers}: Pick<AnswerHead, 'headers'>): string[] {
 		const headerPairs = filterHeaders(headers, reservedAnswerHeaders);
 		const {requestId: requestIdHeader} = this.#definition.headers;
 		if (requestIdHeader !== undefined && requestId !== '') {
 			headerPairs.push(requestIdHeader, requestId);
 		}
 
-		headerPairs.push(HeaderName.Outcome, answer.outcome, HeaderName.Attempts, String(answer.attempts), 'content-length', String(body.length));
-		response.writeHead(status, headerPairs);
-		response.end(body);
+		return headerPairs;
 	}
 
 	#toCallerRequest(entryId: number, request: IncomingMessage, url: string, body: Buffer): CallerRequest {
--- a/packages/node/src/core-task.ts
+++ b/packages/node/src/core-task.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	EventRing, NodeCore, NodeEffectType, type AnswerFrame, type AnswerPayload, type Announcement, type CallerRequest, type CallFrame, type CancelResult,
+	EventRing, NodeCore, NodeEffectType, type AnswerFrame, type AnswerHead, type AnswerPayload, type Announcement, type CallerRequest, type CallFrame, type CancelResult,
 	type GossipMessage, type Holder, type HybridTime, type Member, type NodeDefinition, type NodeEffect, type AtMostOnceMessage, type Revision, type Rumor,
 	type SendFailure, type UpstreamFailure, type VersionedRecord, type Withdrawal, type WriteResult,
 } from '@laburnumspool/core';
@@ -18,10 +18,12 @@
 	CallerRequested = 'caller-requested',
 	CallerDisconnected = 'caller-gone',
 	CallArrived = 'call-arrived',
+	CallStarted = 'call-started',
 	CallAnswered = 'call-answered',
 	CallFailed = 'call-failed',
 	CancelArrived = 'cancel-arrived',
 	CancelReplied = 'cancel-replied',
+	UpstreamStarted = 'upstream-started',
 	UpstreamAnswered = 'upstream-answered',
 	UpstreamFailed = 'upstream-failed',
 	UpstreamAnnounced = 'announced',
@@ -46,10 +48,12 @@
 	[CoreMessageType.CallerRequested]: {readonly request: CallerRequest};
 	[CoreMessageType.CallerDisconnected]: {readonly entryId: number};
 	[CoreMessageType.CallArrived]: {readonly frame: CallFrame; readonly clock: HybridTime};
+	[CoreMessageType.CallStarted]: {readonly callId: string; readonly head: AnswerHead};
 	[CoreMessageType.CallAnswered]: {readonly frame: AnswerFrame; readonly clock: HybridTime};
 	[CoreMessageType.CallFailed]: {readonly callId: string; readonly failure: SendFailure};
 	[CoreMessageType.CancelArrived]: {readonly callId: string; readonly reply: (result: CancelResult) => void};
 	[CoreMessageType.CancelReplied]: {readonly callId: string; readonly result: CancelResult};
+	[CoreMessageType.UpstreamStarted]: {readonly callId: string; readonly head: AnswerHead};
 	[CoreMessageType.UpstreamAnswered]: {readonly callId: string; readonly answer: AnswerPayload};
 	[CoreMessageType.UpstreamFailed]: {readonly callId: string; readonly failure: UpstreamFailure};
 	[CoreMessageType.UpstreamAnnounced]: {readonly announcement: Announcement};
@@ -79,6 +83,7 @@
 	[CoreMessageType.CallerRequested]: (core, {request}, now) => core.callerRequested(request, now),
 	[CoreMessageType.CallerDisconnected]: (core, {entryId}, now) => core.callerDisconnected(entryId, now),
 	[CoreMessageType.CallArrived]: (core, {frame, clock}, now) => core.callArrived(frame, clock, now),
+	[CoreMessageType.CallStarted]: (core, {callId, head}, now) => core.callStarted(callId, head, now),
 	[CoreMessageType.CallAnswered]: (core, {frame, clock}, now) => core.callAnswered(frame, clock, now),
 	[CoreMessageType.CallFailed]: (core, {callId, failure}, now) => core.callFailed(callId, failure, now),
 	[CoreMessageType.CancelArrived](core, {callId, reply}, now) {
@@ -87,6 +92,7 @@
 		return effects;
 	},
 	[CoreMessageType.CancelReplied]: (core, {callId, result}, now) => core.cancelReplied(callId, result, now),
+	[CoreMessageType.UpstreamStarted]: (core, {callId, head}, now) => core.upstreamStarted(callId, head, now),
 	[CoreMessageType.UpstreamAnswered]: (core, {callId, answer}, now) => core.upstreamAnswered(callId, answer, now),
 	[CoreMessageType.UpstreamFailed]: (core, {callId, failure}, now) => core.upstreamFailed(callId, failure, now),
 	[CoreMessageType.UpstreamAnnounced]: (core, {announcement}, now) => core.upstreamAnnounced(announcement, now),
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -14,6 +14,7 @@
 	openHttpStore, parseShippedManifest, toRevision, type Store, type StoreEntry,
 } from '@laburnumspool/manifest';
 import {createActionIds} from './action-ids.js';
+import {AnswerStreams} from './answer-streams.js';
 import {CallersServer} from './callers-server.js';
 import {CoreMessageType, CoreTask} from './core-task.js';
 import {logEvent} from './event-log.js';
@@ -83,8 +84,13 @@
 	const clock = (): number => performance.now();
 	// Only control calls read stored events, so none are stored without them.
 	const core = new CoreTask(toDefinition(settings), clock, settings.controlCalls ? settings.limits.events : 0, openLogger(LogPart.Node));
-	const upstream = new UpstreamClient(core, settings.headers, openLogger(LogPart.Upstream));
-	const peersClient = new PeersClient({core, log: openLogger(LogPart.Peers), clock});
+	const streams = new AnswerStreams();
+	const upstream = new UpstreamClient({
+		core, streams, headers: settings.headers, log: openLogger(LogPart.Upstream),
+	});
+	const peersClient = new PeersClient({
+		core, streams, log: openLogger(LogPart.Peers), clock,
+	});
 	const gossip = new GossipSocket(core, openLogger(LogPart.Control));
 	const store = new StoreTask({
 		core,
@@ -102,9 +108,10 @@
 	const nodeInterface = new NodeInterface({
 		core, host: settings.host, upstream: settings.upstream, metrics: metrics.text,
 	});
-	const peersServer = new PeersServer({core, ...requestLimits});
+	const peersServer = new PeersServer({core, streams, ...requestLimits});
 	const callersServer = new CallersServer({
 		core,
+		streams,
 		openRequests: settings.limits.openRequests,
 		headers: settings.headers,
 		service: settings.upstream?.service,
--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -5,6 +5,7 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
+import type {PausableSource} from './answer-streams.js';
 import {BodyBuffer} from './body-buffer.js';
 import type {WatchedConnection, WatchedConnections} from './watched-connections.js';
 
@@ -27,6 +28,8 @@
 		readonly success: true; readonly status: number; readonly headers: string[]; readonly body: Buffer;
 		/** The connection that carried the answer; undefined when connections are not watched. */
 		readonly connection: WatchedConnection | undefined;
+		/** Whether the body was passed on as a stream; `body` is empty then. */
+		readonly isStreamed: boolean;
 	}
 	| {
 		readonly success: false; readonly failure: ExchangeFailure;
@@ -46,6 +49,25 @@
 	readonly timeoutMilliseconds: number;
 	/** Longest time for the whole exchange, also when chunks of the answer keep arriving. */
 	readonly totalMilliseconds: number;
+	/** Receives a large body while it arrives; without it every body is buffered. */
+	readonly stream?: ExchangeStream;
+};
+
+/** Status and headers of an answer whose body has begun to arrive. */
+export type ExchangeHead = {
+	readonly status: number;
+	readonly headers: readonly string[];
+	/** The connection that carries the answer; undefined when connections are not watched. */
+	readonly connection: WatchedConnection | undefined;
+};
+
+/** Receives the body of an answer that is larger than the buffer. */
+export type ExchangeStream = {
+	/** Body bytes that are buffered before the body is passed on. */
+	readonly bufferBytes: number;
+	/** Whether to pass the body on from now on. Otherwise it is buffered, up to `maximumBytes`. */
+	readonly start: (head: ExchangeHead, source: PausableSource) => boolean;
+	readonly push: (chunk: Buffer) => void;
 };
 
 export type Exchange = {
@@ -97,7 +119,11 @@
 	readonly #maximumBytes: number;
 	readonly #report: (result: ExchangeResult) => void;
 	readonly #connections: WatchedConnections | undefined;
-	readonly #body = new BodyBuffer();
+	readonly #stream: ExchangeStream | undefined;
+	#body = new BodyBuffer();
+	#isStreamed = false;
+	/** Whether the stream was asked to start. It is asked once. */
+	#isStreamDecided = false;
 	#controller: Dispatcher.DispatchController | undefined;
 	#connection: WatchedConnection | undefined;
 	#isAborted = false;
@@ -107,8 +133,9 @@
 	#status = 0;
 	#headers: string[] = [];
 
-	constructor({maximumBytes}: ExchangeRequest, report: (result: ExchangeResult) => void, connections: WatchedConnections | undefined) {
+	constructor({maximumBytes, stream}: ExchangeRequest, report: (result: ExchangeResult) => void, connections: WatchedConnections | undefined) {
 		this.#maximumBytes = maximumBytes;
+		this.#stream = stream;
 		this.#report = report;
 		this.#connections = connections;
 	}
@@ -154,6 +181,12 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		if (this.#isStreamed || this.#startStream(controller, chunk)) {
+			this.#connection?.countStreamed(chunk.length);
+			this.#stream!.push(chunk);
+			return;
+		}
+
 		if (this.#body.length + chunk.length > this.#maximumBytes) {
 			this.#isTooLarge = true;
 			controller.abort(new Error(`The answer exceeds ${this.#maximumBytes} bytes`));
@@ -165,7 +198,7 @@
 
 	onResponseEnd(): void {
 		this.#reportOnce({
-			success: true, status: this.#status, headers: this.#headers, body: this.#body.bytes, connection: this.#connection,
+			success: true, status: this.#status, headers: this.#headers, body: this.#body.bytes, connection: this.#connection, isStreamed: this.#isStreamed,
 		});
 	}
 
@@ -173,6 +206,32 @@
 		this.#reportOnce({success: false, failure: this.#classifyFailure(), headers: this.#headers});
 	}
 
+	/** Starts the stream, if there is one, with the chunk by which the body exceeds the buffer. */
+	#startStream(controller: Dispatcher.DispatchController, chunk: Buffer): boolean {
+		const stream = this.#stream;
+		if (stream === undefined || this.#isStreamDecided || this.#body.length + chunk.length <= stream.bufferBytes) {
+			return false;
+		}
+
+		this.#isStreamDecided = true;
+		const head = {status: this.#status, headers: this.#headers, connection: this.#connection};
+		this.#isStreamed = stream.start(head, {
+			pause() {
+				controller.pause();
+			},
+			resume() {
+				controller.resume();
+			},
+		});
+		if (this.#isStreamed && this.#body.length > 0) {
+			this.#connection?.countStreamed(this.#body.length);
+			stream.push(this.#body.bytes);
+			this.#body = new BodyBuffer();
+		}
+
+		return this.#isStreamed;
+	}
+
 	#classifyFailure(): ExchangeFailure {
 		if (this.#controller === undefined) {
 			return ExchangeFailure.NotConnected;
--- a/packages/node/src/open-requests.ts
+++ b/packages/node/src/open-requests.ts
@@ -5,6 +5,7 @@
  */
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {StreamedAnswer} from './streamed-answer.js';
 
 export type OpenRequest = {
 	readonly response: ServerResponse;
@@ -13,6 +14,8 @@
 	readonly startedAt: number;
 	/** Request id that the caller sent; empty when it sent none. */
 	readonly requestId: string;
+	/** The streamed answer that has begun; undefined before. */
+	streamedAnswer?: StreamedAnswer;
 };
 
 type Connection = {
@@ -54,6 +57,10 @@
 		connection.newestEntryId = entryId;
 	}
 
+	get(entryId: number): OpenRequest | undefined {
+		return this.#requests.get(entryId);
+	}
+
 	/** Removes and returns a request; undefined when it is not open. */
 	remove(entryId: number): OpenRequest | undefined {
 		const request = this.#requests.get(entryId);
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -6,13 +6,14 @@
 import {Buffer} from 'node:buffer';
 import {request as sendRequest, type ClientRequest} from 'node:http';
 import {
-	CancelResult, NodeEffectType, SendFailure, type CallFrame, type Member, type NodeEffect,
+	CancelResult, ErrorKind, LaburnumspoolError, NodeEffectType, SendFailure, type CallFrame, type Member, type NodeEffect,
 } from '@laburnumspool/core';
 import {
-	decodeAnswer, encodeCall, FrameType, parseViewReply, StringTableDecoder, StringTableEncoder, type Frame, type ViewRequest,
+	decodeAnswer, decodeAnswerChunk, decodeAnswerHead, encodeAnswerCredit, encodeCall, FrameType, parseViewReply, StringTableDecoder, StringTableEncoder, type ViewRequest,
 } from '@laburnumspool/protocol';
 import {Agent} from 'undici';
 import * as valibot from 'valibot';
+import {StreamCredit, type AnswerStreams} from './answer-streams.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {startExchange, type ExchangeResult} from './http-client.js';
 import type {Logger} from './logs.js';
@@ -47,12 +48,15 @@
 	queuedFrames: Array<{readonly type: FrameType; readonly content: Buffer}>;
 	/** Ids of the calls without an answer. */
 	readonly openCallIds: Set<string>;
+	/** Bytes received of each streamed answer, by call id. */
+	readonly streamedBytes: Map<string, number>;
 	readonly encoder: StringTableEncoder;
 	readonly decoder: StringTableDecoder;
 };
 
 export type PeersClientDefinition = {
 	readonly core: CoreTask;
+	readonly streams: AnswerStreams;
 	readonly log: Logger;
 	readonly clock: () => number;
 };
@@ -61,7 +65,7 @@
  * Sends calls and cancellations to other nodes.
  *
  * @example
- * const peers = new PeersClient({core, log, clock});
+ * const peers = new PeersClient({core, streams, log, clock});
  */
 export class PeersClient {
 	readonly #definition: PeersClientDefinition;
@@ -70,6 +74,22 @@
 		connections: 1, pipelining: 1, connectTimeout: connectTimeoutMilliseconds, keepAliveTimeout: keepAliveMilliseconds,
 	});
 
+	/** Handlers of the frames that a serving node sends. Others are ignored. */
+	readonly #frameHandlers: Readonly<Partial<Record<FrameType, (connection: PeerConnection, content: Buffer) => void>>> = {
+		[FrameType.Answer]: (connection, content) => {
+			this.#receiveAnswer(connection, content);
+		},
+		[FrameType.CancellationReply]: (connection, content) => {
+			this.#receiveCancellationReply(connection, content.toString('utf8'));
+		},
+		[FrameType.AnswerHead]: (connection, content) => {
+			this.#receiveAnswerHead(connection, content);
+		},
+		[FrameType.AnswerChunk]: (connection, content) => {
+			this.#receiveAnswerChunk(connection, content);
+		},
+	};
+
 	constructor(definition: PeersClientDefinition) {
 		this.#definition = definition;
 		definition.core.handle({
@@ -160,6 +180,7 @@
 			link: undefined,
 			queuedFrames: [],
 			openCallIds: new Set(),
+			streamedBytes: new Map(),
 			encoder: new StringTableEncoder(),
 			decoder: new StringTableDecoder(),
 		};
@@ -177,7 +198,7 @@
 			this.#attachLink(connection, new PeerLink(socket, head, {
 				received: frame => {
 					connection.link?.recordReceipt(this.#definition.clock());
-					this.#receiveFrame(connection, frame);
+					this.#frameHandlers[frame.type]?.(connection, frame.content);
 				},
 				closed: reason => {
 					this.#closeConnection(connection, reason);
@@ -220,20 +241,48 @@
 
 		const failure = connection.link === undefined ? SendFailure.NotConnected : SendFailure.ConnectionLost;
 		[...openCallIds].map(callId => this.#reportFailure(callId, failure));
+		[...connection.streamedBytes.keys()].map(callId => {
+			this.#definition.streams.close(callId);
+			return callId;
+		});
 	}
 
-	#receiveFrame(connection: PeerConnection, {type, content}: Frame): void {
-		if (type === FrameType.Answer) {
-			this.#receiveAnswer(connection, content);
-		} else if (type === FrameType.CancellationReply) {
-			this.#receiveCancellationReply(connection, content.toString('utf8'));
+	#receiveAnswerHead(connection: PeerConnection, content: Buffer): void {
+		const {callId, head} = decodeAnswerHead(content);
+		if (!connection.openCallIds.has(callId) || connection.streamedBytes.has(callId)) {
+			return;
+		}
+
+		connection.streamedBytes.set(callId, 0);
+		this.#definition.streams.open(callId, new StreamCredit(bytes => {
+			this.#sendFrame(connection, FrameType.AnswerCredit, encodeAnswerCredit({callId, bytes}));
+		}));
+		this.#definition.core.post({type: CoreMessageType.CallStarted, callId, head});
+	}
+
+	/** Passes a chunk on. A gap in the body throws `malformed`, which closes the link. */
+	#receiveAnswerChunk(connection: PeerConnection, content: Buffer): void {
+		const {callId, offset, bytes} = decodeAnswerChunk(content);
+		const received = connection.streamedBytes.get(callId);
+		if (received === undefined) {
+			return;
 		}
+
+		if (offset !== received) {
+			throw new LaburnumspoolError(ErrorKind.Malformed, `A chunk of the answer to ${callId} starts at byte ${offset}, expected ${received}`);
+		}
+
+		connection.streamedBytes.set(callId, received + bytes.length);
+		this.#definition.streams.push(callId, bytes);
 	}
 
 	#receiveAnswer(connection: PeerConnection, content: Buffer): void {
 		const {frame, clock} = decodeAnswer(content, connection.decoder);
 		connection.openCallIds.delete(frame.callId);
 		this.#definition.core.post({type: CoreMessageType.CallAnswered, frame, clock});
+		if (connection.streamedBytes.delete(frame.callId)) {
+			this.#definition.streams.close(frame.callId);
+		}
 	}
 
 	/** The reply to a cancellation consists of the result and the call id, separated by a space. */
--- a/packages/node/src/peers-server.ts
+++ b/packages/node/src/peers-server.ts
@@ -12,8 +12,9 @@
 	ErrorKind, LaburnumspoolError, NodeEffectType, type NodeEffect,
 } from '@laburnumspool/core';
 import {
-	decodeCall, encodeAnswer, FrameType, parseViewRequest, StringTableDecoder, StringTableEncoder, type Frame, type ViewReply,
+	decodeAnswerCredit, decodeCall, encodeAnswer, encodeAnswerChunk, encodeAnswerHead, FrameType, parseViewRequest, StringTableDecoder, StringTableEncoder, type ViewReply,
 } from '@laburnumspool/protocol';
+import type {AnswerStreams} from './answer-streams.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
 	readBody, sendClientError, sendProblem, toCallError,
@@ -27,9 +28,11 @@
 const discardReply = (): void => undefined;
 
 type AnswerEffect = Extract<NodeEffect, {type: NodeEffectType.SendAnswer}>;
+type AnswerHeadEffect = Extract<NodeEffect, {type: NodeEffectType.SendAnswerHead}>;
 
 export type PeersServerDefinition = {
 	readonly core: CoreTask;
+	readonly streams: AnswerStreams;
 	readonly requestBytes: number;
 	readonly slowSenderMilliseconds: number;
 };
@@ -49,6 +52,20 @@
 	/** Link of each call without an answer. */
 	readonly #linksByCall = new Map<string, PeerLink>();
 
+	/** Handlers of the frames that an entry node sends. Others are ignored. */
+	readonly #frameHandlers: Readonly<Partial<Record<FrameType, (link: PeerLink, content: Buffer, decoder: StringTableDecoder) => void>>> = {
+		[FrameType.Call]: (link, content, decoder) => {
+			this.#receiveCall(link, decoder, content);
+		},
+		[FrameType.Cancellation]: (link, content) => {
+			this.#receiveCancellation(link, content.toString('utf8'));
+		},
+		[FrameType.AnswerCredit]: (_link, content) => {
+			const {callId, bytes} = decodeAnswerCredit(content);
+			this.#definition.streams.consumed(callId, bytes);
+		},
+	};
+
 	constructor(definition: PeersServerDefinition) {
 		this.#definition = definition;
 		this.#server = createServer({
@@ -63,6 +80,9 @@
 			this.#acceptUpgrade(request, socket, head);
 		});
 		definition.core.handle({
+			[NodeEffectType.SendAnswerHead]: effect => {
+				this.#sendAnswerHead(effect);
+			},
 			[NodeEffectType.SendAnswer]: effect => {
 				this.#sendAnswer(effect);
 			},
@@ -111,7 +131,7 @@
 		const stringTables = {encoder: new StringTableEncoder(), decoder: new StringTableDecoder()};
 		const link: PeerLink = new PeerLink(socket, head, {
 			received: frame => {
-				this.#receiveFrame(link, stringTables.decoder, frame);
+				this.#frameHandlers[frame.type]?.(link, frame.content, stringTables.decoder);
 			},
 			closed: () => {
 				this.#removeLink(link);
@@ -120,14 +140,6 @@
 		this.#links.set(link, stringTables);
 	}
 
-	#receiveFrame(link: PeerLink, decoder: StringTableDecoder, {type, content}: Frame): void {
-		if (type === FrameType.Call) {
-			this.#receiveCall(link, decoder, content);
-		} else if (type === FrameType.Cancellation) {
-			this.#receiveCancellation(link, content.toString('utf8'));
-		}
-	}
-
 	#receiveCall(link: PeerLink, decoder: StringTableDecoder, content: Buffer): void {
 		const {frame, clock} = decodeCall(content, decoder);
 		if (this.#linksByCall.has(frame.callId)) {
@@ -138,6 +150,23 @@
 		this.#definition.core.post({type: CoreMessageType.CallArrived, frame, clock});
 	}
 
+	/** Sends the head of an answer and, as they arrive, the chunks of its body. */
+	#sendAnswerHead({callId, head}: AnswerHeadEffect): void {
+		const link = this.#linksByCall.get(callId);
+		if (link === undefined) {
+			return;
+		}
+
+		let offset = 0;
+		link.send(FrameType.AnswerHead, encodeAnswerHead({callId, head}));
+		this.#definition.streams.attach(callId, {
+			write(bytes) {
+				link.send(FrameType.AnswerChunk, encodeAnswerChunk({callId, offset, bytes}));
+				offset += bytes.length;
+			},
+		});
+	}
+
 	#sendAnswer({frame, clock}: AnswerEffect): void {
 		const link = this.#linksByCall.get(frame.callId);
 		const stringTables = link === undefined ? undefined : this.#links.get(link);
--- a/packages/node/src/tests/answer-ends.test.ts
+++ b/packages/node/src/tests/answer-ends.test.ts
@@ -105,6 +105,7 @@
 		tracestate: 's',
 		timeLeftMilliseconds: 60_000,
 		answerBytesLimit: bytesLimit,
+		canStream: false,
 	});
 	t.equal(summarize(await core.nextMessage()), '200 ');
 });
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -9,6 +9,7 @@
 } from '@laburnumspool/core';
 import {findFreePorts} from '@laburnumspool/standin-loopback';
 import {test, type Test} from 'tap';
+import {AnswerStreams} from '../answer-streams.js';
 import {CallersServer} from '../callers-server.js';
 import {
 	CoreMessageType, type CoreMessage, type CoreTask, type EffectHandlers,
@@ -43,6 +44,7 @@
 	} as unknown as CoreTask;
 	const server = new CallersServer({
 		core,
+		streams: new AnswerStreams(),
 		requestBytes: 100_000,
 		openRequests: 100,
 		slowSenderMilliseconds,
--- a/packages/node/src/tests/peers-client.test.ts
+++ b/packages/node/src/tests/peers-client.test.ts
@@ -5,6 +5,7 @@
 	Importance, Liveness, NodeEffectType, priorityOf, Semantics, UpstreamState, type CallFrame, type Member,
 } from '@laburnumspool/core';
 import {test, type Test} from 'tap';
+import {AnswerStreams} from '../answer-streams.js';
 import {
 	CoreMessageType, type CoreMessage, type CoreTask, type EffectHandlers,
 } from '../core-task.js';
@@ -77,7 +78,9 @@
 				return true;
 			},
 		} as unknown as CoreTask;
-		const client = new PeersClient({core, log: silentLog, clock: () => performance.now()});
+		const client = new PeersClient({
+			core, streams: new AnswerStreams(), log: silentLog, clock: () => performance.now(),
+		});
 		t.teardown(async () => {
 			await client.close();
 			await peer.terminate();
--- a/packages/node/src/tests/raw-upstream.ts
+++ b/packages/node/src/tests/raw-upstream.ts
@@ -10,6 +10,7 @@
 	AnnouncedState, NodeEffectType, UpstreamFailure, type NodeEffect,
 } from '@laburnumspool/core';
 import type {Test} from 'tap';
+import {AnswerStreams} from '../answer-streams.js';
 import {CoreMessageType, type CoreMessage, type CoreTask} from '../core-task.js';
 import {UpstreamClient} from '../upstream-client.js';
 import {doNothing, silentLog} from './fixtures.js';
@@ -71,7 +72,9 @@
 export function startClient(t: Test, port: number, options: ClientOptions = {}): StartedClient {
 	const {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000, sendsRequestId = true} = options;
 	const core = new CoreStub();
-	const client = new UpstreamClient(core as unknown as CoreTask, headers, silentLog);
+	const client = new UpstreamClient({
+		core: core as unknown as CoreTask, streams: new AnswerStreams(), headers, log: silentLog,
+	});
 	t.teardown(async () => client.close());
 	core.apply({
 		type: NodeEffectType.UpstreamAnnounced,
@@ -91,6 +94,7 @@
 			tracestate: 's',
 			timeLeftMilliseconds,
 			answerBytesLimit,
+			canStream: false,
 		});
 	};
 
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -7,9 +7,10 @@
 	NodeEffectType, UpstreamFailure, type Announcement, type NodeEffect,
 } from '@laburnumspool/core';
 import {Pool} from 'undici';
+import {StreamFlow, type AnswerStreams} from './answer-streams.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
-	ExchangeFailure, startExchange, type Exchange, type ExchangeResult,
+	ExchangeFailure, startExchange, type Exchange, type ExchangeHead, type ExchangeResult, type ExchangeStream,
 } from './http-client.js';
 import {
 	filterHeaders, findHeader, findHeaders, HeaderName,
@@ -25,6 +26,9 @@
 const maximumExchangeMilliseconds = 600_000;
 const misdirectedStatus = 421;
 
+/** Body bytes of a download that are buffered. A smaller answer can still be replaced by that of a retry. */
+const downloadBufferBytes = 64 * 1024;
+
 const upstreamFailures: Readonly<Record<ExchangeFailure, UpstreamFailure>> = {
 	[ExchangeFailure.NotConnected]: UpstreamFailure.NotConnected,
 	[ExchangeFailure.Broken]: UpstreamFailure.Broken,
@@ -35,14 +39,22 @@
 type ExchangeAnswer = Extract<ExchangeResult, {success: true}>;
 type DispatchEffect = Extract<NodeEffect, {type: NodeEffectType.Dispatch}>;
 
+export type UpstreamClientDefinition = {
+	readonly core: CoreTask;
+	readonly streams: AnswerStreams;
+	readonly headers: HeaderNames;
+	readonly log: Logger;
+};
+
 /**
  * Sends calls to the upstream, over at most as many connections as the upstream announced.
  *
  * @example
- * const upstream = new UpstreamClient(core, settings.headers, log);
+ * const upstream = new UpstreamClient({core, streams, headers: settings.headers, log});
  */
 export class UpstreamClient {
 	readonly #core: CoreTask;
+	readonly #streams: AnswerStreams;
 	readonly #log: Logger;
 	readonly #headers: HeaderNames;
 	/** Headers of answers that are meant for this node, or that the entry node sets itself. */
@@ -53,8 +65,9 @@
 	#poolKey = '';
 	#instance: string | undefined;
 
-	constructor(core: CoreTask, headers: HeaderNames, log: Logger) {
+	constructor({core, streams, headers, log}: UpstreamClientDefinition) {
 		this.#core = core;
+		this.#streams = streams;
 		this.#headers = headers;
 		this.#strippedHeaders = new Set([headers.requestId, headers.load].filter(name => name !== undefined));
 		this.#log = log;
@@ -97,7 +110,7 @@
 			return;
 		}
 
-		const {request, requestId, traceparent, tracestate, timeLeftMilliseconds, answerBytesLimit} = effect;
+		const {request, requestId, traceparent, tracestate, timeLeftMilliseconds, answerBytesLimit, canStream} = effect;
 		const {timeLeft, requestId: requestIdHeader, expectedInstance} = this.#headers;
 		const headers = [
 			...request.headers,
@@ -120,13 +133,47 @@
 			maximumBytes: answerBytesLimit,
 			timeoutMilliseconds,
 			totalMilliseconds: timeoutMilliseconds,
+			...(canStream ? {stream: this.#createStream(effect)} : {}),
 		}, result => {
 			this.#exchanges.delete(callId);
 			this.#reportResult(effect, result);
+			this.#streams.close(callId);
 		}, this.#connections);
 		this.#exchanges.set(callId, exchange);
 	}
 
+	/** Passes the body of a large answer on, once its head proves that it is the upstream's own answer to this call. */
+	#createStream(effect: DispatchEffect): ExchangeStream {
+		const {callId} = effect;
+		let flow: StreamFlow | undefined;
+		return {
+			bufferBytes: downloadBufferBytes,
+			start: (head, source) => {
+				const requestIds = findHeaders(head.headers, this.#headers.requestId);
+				if (this.#detectHeadFailure(effect, head, requestIds) !== undefined) {
+					return false;
+				}
+
+				const bodyBytes = findHeader(head.headers, 'content-length');
+				const startedFlow = new StreamFlow(source);
+				flow = startedFlow;
+				this.#streams.open(callId, startedFlow);
+				this.#core.post({
+					type: CoreMessageType.UpstreamStarted,
+					callId,
+					head: {
+						status: head.status, headers: filterHeaders(head.headers, this.#strippedHeaders), bodyBytes: bodyBytes === undefined ? undefined : Number(bodyBytes),
+					},
+				});
+				return true;
+			},
+			push: chunk => {
+				flow?.sent(chunk.length);
+				this.#streams.push(callId, chunk);
+			},
+		};
+	}
+
 	#reportResult(effect: DispatchEffect, result: ExchangeResult): void {
 		const {callId} = effect;
 		const {requestId: requestIdHeader} = this.#headers;
@@ -138,14 +185,16 @@
 			return;
 		}
 
-		const {status, body, connection} = result;
+		const {status, body, connection, isStreamed} = result;
 		const failure = this.#detectFailure(effect, result, requestIds);
 		if (failure !== undefined || (requestIdHeader !== undefined && requestIds.length === 0)) {
 			// A duplicate of this answer could not be distinguished from the answer to a later call.
 			connection?.close();
 		}
 
-		const answer = {status, headers: filterHeaders(result.headers, this.#strippedHeaders), body};
+		const answer = {
+			status, headers: filterHeaders(result.headers, this.#strippedHeaders), body, ...(isStreamed ? {isStreamed} : {}),
+		};
 		this.#core.post(failure === undefined
 			? {type: CoreMessageType.UpstreamAnswered, callId, answer}
 			: {type: CoreMessageType.UpstreamFailed, callId, failure});
@@ -165,11 +214,22 @@
 		return findHeader(headers, this.#headers.notExecuted) === undefined ? undefined : UpstreamFailure.Refused;
 	}
 
+	/** As `#detectHeadFailure`; also `Broken` when the answer may have been cut off. */
+	#detectFailure(effect: DispatchEffect, answer: ExchangeAnswer, requestIds: readonly string[]): UpstreamFailure | undefined {
+		const failure = this.#detectHeadFailure(effect, answer, requestIds);
+		if (failure === undefined && answer.connection?.hasAbnormalEnd !== false) {
+			this.#log.warn(`dropped the answer to ${effect.callId}: it has no length, and its connection ended abnormally`);
+			return UpstreamFailure.Broken;
+		}
+
+		return failure;
+	}
+
 	/**
 	 * Returns a refusal when the answer proves that the request was not run, `Broken` when the answer is not proven to be the
-	 * complete, signed answer to this call, and undefined otherwise.
+	 * signed answer to this call, and undefined otherwise.
 	 */
-	#detectFailure(effect: DispatchEffect, answer: ExchangeAnswer, requestIds: readonly string[]): UpstreamFailure | undefined {
+	#detectHeadFailure(effect: DispatchEffect, answer: ExchangeHead, requestIds: readonly string[]): UpstreamFailure | undefined {
 		const {callId, requestId} = effect;
 		const {status, headers, connection} = answer;
 		const {signature} = this.#headers;
@@ -194,11 +254,6 @@
 			return UpstreamFailure.Broken;
 		}
 
-		if (connection?.hasAbnormalEnd !== false) {
-			this.#log.warn(`dropped the answer to ${callId}: it has no length, and its connection ended abnormally`);
-			return UpstreamFailure.Broken;
-		}
-
 		const isUnsigned = signature !== undefined && status < 300 && findHeader(headers, signature) === undefined;
 		return isUnsigned ? UpstreamFailure.Broken : undefined;
 	}
--- a/packages/node/src/watched-connections.ts
+++ b/packages/node/src/watched-connections.ts
@@ -21,6 +21,7 @@
 	readonly #socket: Socket;
 	#hasAbnormalEnd = false;
 	#answerCount = 0;
+	#streamedBytes = 0;
 
 	constructor(socket: Socket) {
 		this.#socket = socket;
@@ -44,6 +45,15 @@
 		return this.#answerCount === 1;
 	}
 
+	/** Bytes of bodies that were passed on without being kept. They raise the limit on received bytes. */
+	get streamedBytes(): number {
+		return this.#streamedBytes;
+	}
+
+	countStreamed(bytes: number): void {
+		this.#streamedBytes += bytes;
+	}
+
 	/** Called for the head of each final answer. */
 	countAnswer(): void {
 		this.#answerCount += 1;
@@ -101,12 +111,14 @@
 		const connection = new WatchedConnection(socket);
 		let bytesWritten = 0;
 		let bytesReadBefore = 0;
+		let streamedBefore = 0;
 		socket.on('readable', () => {
 			this.#readingConnection = connection;
 			if (socket.bytesWritten !== bytesWritten) {
 				bytesWritten = socket.bytesWritten;
 				bytesReadBefore = socket.bytesRead;
-			} else if (socket.bytesRead - bytesReadBefore > this.#maximumBytes) {
+				streamedBefore = connection.streamedBytes;
+			} else if (socket.bytesRead - bytesReadBefore > this.#maximumBytes + ((connection.streamedBytes - streamedBefore) * overheadFactor)) {
 				socket.destroy(new Error(`Received more than ${this.#maximumBytes} bytes without a new request`));
 			}
 		});
--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -5,14 +5,15 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import {
-	ErrorKind, Importance, LaburnumspoolError, Outcome, parseCallId, parseJson, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
+	ErrorKind, Importance, LaburnumspoolError, Outcome, parseCallId, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
 } from '@laburnumspool/core';
+import {
+	isAny, isArray, isBoolean, isNonNegativeNumber, isNumber, isString, isStringArray, joinMessage, nullOr, parseHead, splitMessage, type Check,
+} from './message-head.js';
 import type {StringTableDecoder, StringTableEncoder, EncodedString} from './string-table.js';
 
-const headLengthBytes = 4;
-
 const importances: ReadonlySet<unknown> = new Set(Object.values(Importance));
 const semantics: ReadonlySet<unknown> = new Set(Object.values(Semantics));
 const outcomes: ReadonlySet<unknown> = new Set(Object.values(Outcome));
@@ -26,17 +27,14 @@
 	method: string, target: string, headers: readonly unknown[], digest: string, clock: HybridTime,
 ];
 
-/** Values of an answer's head in their order. */
+/** Values of an answer's head in their order. `bodyBytes` is null when the body was sent as a stream before. */
 type AnswerHead = readonly [
-	sender: unknown, sequence: unknown, outcome: Outcome, coversAction: boolean, status: number | null, headers: readonly unknown[], bodyBytes: number,
+	sender: unknown, sequence: unknown, outcome: Outcome, coversAction: boolean, status: number | null, headers: readonly unknown[], bodyBytes: number | null,
 	errorKind: ErrorKind | null, detail: string, retriesSpent: number,
 	headroom: number, level: number, downstreamLevel: number, draining: boolean, revision: number, servedMilliseconds: number, clock: HybridTime,
 ];
 
-type Check = (value: unknown) => boolean;
-
 const isOneOf = (values: ReadonlySet<unknown>): Check => value => values.has(value);
-const nullOr = (check: Check): Check => value => value === null || check(value);
 
 /** Checks of a call's head, one per value, in the order of `CallHead`. */
 const callChecks: readonly Check[] = [
@@ -72,7 +70,7 @@
 	isBoolean,
 	nullOr(isNumber),
 	isArray,
-	isNumber,
+	nullOr(isNumber),
 	nullOr(isOneOf(errorKinds)),
 	isString,
 	isNumber,
@@ -182,7 +180,7 @@
 		frame.coversAction,
 		answer === undefined ? null : answer.status,
 		(answer?.headers ?? []).map(text => strings.encode(text)),
-		answer?.body.length ?? 0,
+		answer?.isStreamed === true ? null : answer?.body.length ?? 0,
 		error?.kind ?? null,
 		error?.detail ?? '',
 		frame.retriesSpent,
@@ -204,7 +202,7 @@
 	] = parseHead<AnswerHead>(head, answerChecks);
 	const callId = decodeCallId(sender, sequence, strings);
 	const answerHeaders = decodeStrings(headers, strings);
-	if (bodyBytes !== body.length) {
+	if ((bodyBytes ?? 0) !== body.length) {
 		throw new LaburnumspoolError(ErrorKind.Malformed, `The body of answer ${callId} has ${body.length} bytes; its head states ${String(bodyBytes)}`);
 	}
 
@@ -212,7 +210,11 @@
 		callId,
 		outcome,
 		coversAction,
-		answer: status === null ? undefined : {status, headers: answerHeaders, body},
+		answer: status === null
+			? undefined
+			: {
+				status, headers: answerHeaders, body, ...(bodyBytes === null ? {isStreamed: true} : {}),
+			},
 		error: errorKind === null ? undefined : {kind: errorKind, detail},
 		retriesSpent,
 		serving: {
@@ -222,36 +224,6 @@
 	return {clock, frame};
 }
 
-function joinMessage(head: unknown, body: Uint8Array): Buffer {
-	const headText = JSON.stringify(head);
-	const headBytes = Buffer.byteLength(headText);
-	const content = Buffer.allocUnsafe(headLengthBytes + headBytes + body.length);
-	content.writeUInt32BE(headBytes, 0);
-	content.write(headText, headLengthBytes);
-	content.set(body, headLengthBytes + headBytes);
-	return content;
-}
-
-function splitMessage(content: Buffer): {head: string; body: Buffer} {
-	const headBytes = content.length < headLengthBytes ? Infinity : content.readUInt32BE(0);
-	const bodyStart = headLengthBytes + headBytes;
-	if (bodyStart > content.length) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, `The message has ${content.length} bytes and ends within its head`);
-	}
-
-	return {head: content.toString('utf8', headLengthBytes, bodyStart), body: content.subarray(bodyStart)};
-}
-
-/** Runs for every call and answer, so the checks are plain functions and not a schema. */
-function parseHead<Head extends readonly unknown[]>(head: string, checks: readonly Check[]): Head {
-	const values = parseJson(head, ErrorKind.Malformed, 'The head of the message is not JSON');
-	if (!Array.isArray(values) || values.length !== checks.length || !checks.every((check, index) => check(values[index]))) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, `The head of the message is not an array of ${checks.length} values of the expected types`);
-	}
-
-	return values as unknown as Head;
-}
-
 /** No time is measured with a finer resolution than microseconds. */
 function roundToMicroseconds(milliseconds: number): number {
 	return Math.round(milliseconds * 1000) / 1000;
@@ -271,32 +243,3 @@
 function decodeStrings(values: readonly unknown[], strings: StringTableDecoder): string[] {
 	return values.map(value => strings.decode(value));
 }
-
-/** For values that are checked when they are decoded. */
-function isAny(): boolean {
-	return true;
-}
-
-function isArray(value: unknown): boolean {
-	return Array.isArray(value);
-}
-
-function isString(value: unknown): value is string {
-	return typeof value === 'string';
-}
-
-function isBoolean(value: unknown): value is boolean {
-	return typeof value === 'boolean';
-}
-
-function isNumber(value: unknown): value is number {
-	return typeof value === 'number';
-}
-
-function isNonNegativeNumber(value: unknown): value is number {
-	return typeof value === 'number' && value >= 0;
-}
-
-function isStringArray(value: unknown): value is string[] {
-	return Array.isArray(value) && value.every(item => typeof item === 'string');
-}
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -21,11 +21,16 @@
 	/** Health check of the connection; the receiver replies with a pong. */
 	Ping = 5,
 	Pong = 6,
+	/** Starts an answer whose body follows in chunks. `Answer` ends it. */
+	AnswerHead = 7,
+	AnswerChunk = 8,
+	/** Bytes of the chunks that the receiver has consumed. */
+	AnswerCredit = 9,
 }
 
 export type Frame = {readonly type: FrameType; readonly content: Buffer};
 
-const frameTypes: ReadonlySet<number> = new Set([FrameType.Call, FrameType.Answer, FrameType.Cancellation, FrameType.CancellationReply, FrameType.Ping, FrameType.Pong]);
+const frameTypes: ReadonlySet<unknown> = new Set(Object.values(FrameType));
 
 /** The five bytes in front of a frame's content: length and type. */
 export function encodeFrameHeader(type: FrameType, contentBytes: number): Buffer {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -7,4 +7,5 @@
 export * from './control-codec.js';
 export * from './view-codec.js';
 export * from './frames.js';
+export * from './stream-codec.js';
 export * from './string-table.js';
