Check all members in one place, and let one bad input harm only itself

Two cases happened here: a member with port 0 made each tick throw, and the later effects of the message, answers to callers among them, were not carried out; a copy of an entry with incarnation 1.7e308 under another key removed the living node from the view for good.

- Effects of one message stand alone: one that throws is logged with its type and counted.
- One schema of a member (ports, IP addresses, lengths, integers in bounds) checks store entries, gossip, views, seeds of the own settings; an invalid member or rumor is left out alone, with one line a minute for each source.
A store entry counts only under the key of its member.
- An incarnation, a birth or a hybrid time that no clock of the system can have reached is not adopted.
Entries of the own name at another address are verified by a message to it; only a node that sends from there with a later start ends this one, otherwise the claim is refuted by a higher incarnation.
An entry with the own address is refuted too.
A probe is acknowledged by its target or a relay only.
- Heads of frames admit finite numbers in their bounds only.
A failed pull of a manifest no longer blocks later ones.

--- a/benchmarks/src/virtual-system.ts
+++ b/benchmarks/src/virtual-system.ts
@@ -120,6 +120,12 @@
 		this.store.holders.delete(holderKey(node.core.own));
 	}
 
+	/** Passes an input to the core of a node and applies its effects. */
+	inject(nodeName: string, input: (core: NodeCore, now: number) => NodeEffect[]): void {
+		const node = this.node(nodeName);
+		this.#applyEffects(node, input(node.core, this.#now));
+	}
+
 	/** Starts the planned stop of a node. */
 	startDraining(node: VirtualNode): void {
 		this.#applyEffects(node, node.core.startDraining(this.#now));
@@ -227,15 +233,15 @@
 	}
 
 	#sendCall(node: VirtualNode, call: Extract<NodeEffect, {type: NodeEffectType.SendCall}>): void {
-		const target = this.node(call.to.name);
-		if (target.isDown) {
+		const target = this.nodes.find(candidate => candidate.name === call.to.host);
+		if (target === undefined || target.isDown) {
 			this.schedule(linkLatencyMilliseconds, () => {
 				this.#applyEffects(node, node.core.callFailed(call.frame.callId, SendFailure.NotConnected, this.#now));
 			});
 			return;
 		}
 
-		this.#deliver(node, call.to.name, call, receiver => receiver.core.callArrived(call.frame, call.clock, this.#now));
+		this.#deliver(node, call.to.host, call, receiver => receiver.core.callArrived(call.frame, call.clock, this.#now));
 	}
 
 	#deliver(from: VirtualNode, to: string, effect: NodeEffect, receive: (receiver: VirtualNode) => NodeEffect[]): void {
--- a/packages/core/src/at-most-once/record.ts
+++ b/packages/core/src/at-most-once/record.ts
@@ -7,19 +7,21 @@
 import {createHash} from 'node:crypto';
 import * as valibot from 'valibot';
 import type {Member} from '../membership/member.js';
+import {incarnationSchema, memberNameSchema} from '../membership/member-schema.js';
 import {chooseByRendezvous, rendezvousWeight} from '../routing/rendezvous.js';
 
 /** Number of key ranges of each service. */
 export const rangeCount = 32;
 
-const holderSchema = valibot.strictObject({name: valibot.string(), incarnation: valibot.number()});
+const counter = valibot.pipe(valibot.number(), valibot.safeInteger(), valibot.minValue(0));
+const holderSchema = valibot.strictObject({name: memberNameSchema, incarnation: incarnationSchema});
 
 const rangeSchema = valibot.strictObject({
-	epoch: valibot.number(),
+	epoch: counter,
 	primary: holderSchema,
 	backup: valibot.nullable(holderSchema),
 	/** Wall-clock time in milliseconds at which all claims of the range were last lost; 0 if they never were. */
-	claimsLostAt: valibot.number(),
+	claimsLostAt: incarnationSchema,
 });
 
 /** Schema of the record as the store keeps it. */
@@ -27,7 +29,7 @@
 	service: valibot.string(),
 	ranges: valibot.pipe(valibot.array(rangeSchema), valibot.length(rangeCount)),
 	/** Number of times that each holder has returned after its lease lapsed, by the name of the lease. */
-	returns: valibot.record(valibot.string(), valibot.number()),
+	returns: valibot.record(valibot.string(), counter),
 });
 
 /** One incarnation of a node, as the primary or the backup of a range. */
--- a/packages/core/src/events/hybrid-clock.ts
+++ b/packages/core/src/events/hybrid-clock.ts
@@ -6,6 +6,8 @@
  * @module
  */
 
+import {isReachableTime} from '../clock-lead.js';
+
 const countsPerMillisecond = 4096;
 
 /** A safe integer: milliseconds since the Unix epoch times 4096, plus a counter. */
@@ -38,8 +40,9 @@
 		return this.#last;
 	}
 
-	/** Advances the clock to a received time. Values that are not safe integers are ignored. */
+	/** Advances the clock to a received time. A value that no clock of the system can have reached is ignored. */
 	observe(time: HybridTime): void {
-		this.#last = Math.max(this.#last, Number.isSafeInteger(time) ? time : 0);
+		const isValid = Number.isSafeInteger(time) && isReachableTime(wallTimeOf(time), this.#wallClock());
+		this.#last = Math.max(this.#last, isValid ? time : 0);
 	}
 }
--- a/packages/core/src/manifest/routes-manifest.ts
+++ b/packages/core/src/manifest/routes-manifest.ts
@@ -144,7 +144,7 @@
 }
 
 function readLimits(document: unknown): {readonly value: CallerLimits; readonly issues: readonly ManifestIssue[]} {
-	const result = valibot.safeParse(callerLimitsSchema, document ?? {});
+	const result = valibot.safeParse(callerLimitsSchema, document === undefined ? {} : document);
 	if (result.success) {
 		return {value: result.output, issues: []};
 	}
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -13,7 +13,9 @@
 import {
 	GossipType, MembershipEffectType, type Address, type GossipMessage, type MembershipEffect,
 } from './messages.js';
+import {isReachableTime} from '../clock-lead.js';
 import {DisseminationQueue} from './dissemination-queue.js';
+import {NameClaims} from './name-claims.js';
 import {Prober} from './prober.js';
 import {Rumors, type Rumor} from './rumors.js';
 
@@ -26,6 +28,9 @@
 const membersPerMessage = 7;
 const rumorsPerMessage = 8;
 
+/** Highest version that a valid member has. */
+const maximumMemberVersion = 4_294_967_295;
+
 /** Times of the membership protocol, from the settings. */
 export type MembershipTimes = {
 	readonly probeIntervalMilliseconds: number;
@@ -45,6 +50,8 @@
 	readonly own: Member;
 	readonly random: () => number;
 	readonly times: MembershipTimes;
+	/** Wall-clock time in milliseconds since the Unix epoch. Members whose incarnation it cannot have reached are ignored. */
+	readonly wallClock?: () => number;
 };
 
 /**
@@ -63,6 +70,7 @@
 	readonly #rumorQueue = new DisseminationQueue();
 	readonly #prober: Prober;
 	readonly #suspectedAt = new Map<string, number>();
+	readonly #nameClaims = new NameClaims();
 	#own: Member;
 	#seeds: readonly Address[] = [];
 	#isSeedPingDue = false;
@@ -134,7 +142,8 @@
 	/** Handles a gossip message. */
 	receive(message: GossipMessage, now: number): MembershipEffect[] {
 		const merged = [
-			...this.mergeMembers([message.sender, ...message.members], now),
+			...this.#mergeSender(message.sender, now),
+			...this.mergeMembers(message.members, now),
 			...message.rumors.flatMap(rumor => this.broadcast(rumor)),
 		];
 		const handlers: Readonly<Record<GossipType, () => MembershipEffect[]>> = {
@@ -156,7 +165,7 @@
 
 	/** Merges updates about members, and gossips those that change the view. */
 	mergeMembers(members: readonly Member[], now: number): MembershipEffect[] {
-		return members.flatMap(member => member.name === this.#own.name ? this.#mergeOwn(member, now) : this.#mergeOther(member, now));
+		return members.filter(member => this.#isReachable(member)).flatMap(member => member.name === this.#own.name ? this.#mergeOwn(member, now) : this.#mergeOther(member, now));
 	}
 
 	/** Digests for a view exchange. */
@@ -172,7 +181,7 @@
 	/** Performs everything that is due: probes, expiry of suspicions, dissemination and view exchanges. */
 	advance(now: number): MembershipEffect[] {
 		this.#table.removeExpiredTombstones(now);
-		return [...this.#probe(now), ...this.#expireSuspicions(now), ...this.#disseminate(now), ...this.#startExchange(now)];
+		return [...this.#refuteClaim(now), ...this.#probe(now), ...this.#expireSuspicions(now), ...this.#disseminate(now), ...this.#startExchange(now)];
 	}
 
 	/** Random other members that match, at most the given number. */
@@ -189,13 +198,30 @@
 		return [{type: MembershipEffectType.Changed, member: own}];
 	}
 
+	/** A process that sends under the own name from another address, and started later, is proven to run. */
+	#mergeSender(sender: Member, now: number): MembershipEffect[] {
+		const isLaterStart = sender.name === this.#own.name && sender.incarnation > this.#own.incarnation && !hasSameAddress(sender, this.#own);
+		return isLaterStart && this.#isReachable(sender)
+			? [{type: MembershipEffectType.Superseded, by: sender}]
+			: this.mergeMembers([sender], now);
+	}
+
+	#isReachable({incarnation}: Member): boolean {
+		const {wallClock} = this.#definition;
+		return wallClock === undefined || isReachableTime(incarnation, wallClock());
+	}
+
 	#mergeOwn(member: Member, now: number): MembershipEffect[] {
 		if (member.incarnation > this.#own.incarnation) {
-			return hasSameAddress(member, this.#own) ? this.#raiseIncarnation(member, now) : [{type: MembershipEffectType.Superseded, by: member}];
+			return hasSameAddress(member, this.#own) ? this.#raiseIncarnation(member, now) : this.#verifyClaim(member, now);
 		}
 
 		const needsRefutation = member.incarnation === this.#own.incarnation && member.version >= this.#own.version && member.liveness !== Liveness.Alive;
-		return needsRefutation ? this.#setOwn({...this.#own, version: member.version + 1}, now) : [];
+		if (!needsRefutation) {
+			return [];
+		}
+
+		return member.version < maximumMemberVersion ? this.#setOwn({...this.#own, version: member.version + 1}, now) : this.#raiseIncarnation(member, now);
 	}
 
 	/** No other node can have the own address, so a higher incarnation is from an earlier start, before the clock was set back. */
@@ -203,6 +229,17 @@
 		return this.#setOwn({...this.#own, incarnation: member.incarnation + 1, version: 1}, now);
 	}
 
+	/** Contacts the address that an entry of the own name states. A node that runs there answers, and is then known to have started later. */
+	#verifyClaim(member: Member, now: number): MembershipEffect[] {
+		return this.#nameClaims.add(member, now) ? [this.#send(addressOf(member), GossipType.Ping, 0)] : [];
+	}
+
+	/** Refutes an entry of the own name whose address has not answered. */
+	#refuteClaim(now: number): MembershipEffect[] {
+		const claim = this.#nameClaims.takeUnanswered(now);
+		return claim === undefined || claim.incarnation <= this.#own.incarnation ? [] : this.#raiseIncarnation(claim, now);
+	}
+
 	#mergeOther(member: Member, now: number): MembershipEffect[] {
 		const isFirstOther = this.others.length === 0;
 		if (!this.#table.merge(member, now)) {
@@ -226,7 +263,10 @@
 		return [{type: MembershipEffectType.Changed, member}, ...this.#resolveAddressConflict(member, now)];
 	}
 
-	/** Of two nodes with the same address, the one with the lower incarnation is marked as dead; this node stops when it is that one. */
+	/**
+	 * Of two entries with the same address, the one with the lower incarnation is marked as dead. No other node can have the own
+	 * address, so an entry that states it is refuted.
+	 */
 	#resolveAddressConflict(member: Member, now: number): MembershipEffect[] {
 		if (isDeadOrLeft(member)) {
 			return [];
@@ -236,7 +276,7 @@
 		return conflicting.flatMap(other => {
 			const older = other.incarnation < member.incarnation ? other : member;
 			if (older.name === this.#own.name) {
-				return [{type: MembershipEffectType.Superseded as const, by: member}];
+				return [...this.#raiseIncarnation(member, now), ...this.#mergeOther({...member, liveness: Liveness.Dead}, now)];
 			}
 
 			return this.#mergeOther({...older, liveness: Liveness.Dead}, now);
--- a/packages/core/src/membership/prober.ts
+++ b/packages/core/src/membership/prober.ts
@@ -40,7 +40,7 @@
 	readonly isInOwnRegion: (member: Member) => boolean;
 };
 
-type Probe = {readonly name: string; readonly sequence: number; readonly startedAt: number; isIndirect: boolean};
+type Probe = {readonly name: string; readonly sequence: number; readonly startedAt: number; /** Empty until the probe is repeated through other members. */ relays: readonly string[]; isIndirect: boolean};
 
 /**
  * Probes the members in random order, one per interval; those of other regions less often.
@@ -63,9 +63,10 @@
 		this.#definition = definition;
 	}
 
-	/** Records an acknowledgement; returns the requester to forward it to when the probe was made on behalf of another node. */
+	/** Records an acknowledgement of the probed member or of a relay; returns the requester to forward it to when the probe was made on behalf of another node. */
 	acknowledged(sequence: number, name: string): ProbeRequester | undefined {
-		if (this.#probe?.sequence === sequence) {
+		const probe = this.#probe;
+		if (probe?.sequence === sequence && (probe.name === name || probe.relays.includes(name))) {
 			this.#probe = undefined;
 			return undefined;
 		}
@@ -124,7 +125,7 @@
 
 		this.#sequence += 1;
 		this.#probe = {
-			name, sequence: this.#sequence, startedAt: now, isIndirect: false,
+			name, sequence: this.#sequence, startedAt: now, relays: [], isIndirect: false,
 		};
 		return {
 			isNewInterval: true, pings: [{name, sequence: this.#sequence}], pingRequests: [], failed,
@@ -139,6 +140,7 @@
 
 		probe.isIndirect = true;
 		const relays = this.#chooseRelays(probe.name);
+		probe.relays = relays;
 		return relays.length === 0 ? [] : [{name: probe.name, sequence: probe.sequence, relays}];
 	}
 
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -73,7 +73,9 @@
 		this.#clock = new HybridClock(definition.wallClock);
 		this.#router = new Router(definition.own, definition.random);
 		this.#admission = new AdmissionController(1, definition.admissionMechanisms ?? allAdmissionMechanisms);
-		this.#membership = new Membership({own: definition.own, random: definition.random, times: definition.membershipTimes});
+		this.#membership = new Membership({
+			own: definition.own, random: definition.random, times: definition.membershipTimes, wallClock: definition.wallClock,
+		});
 		this.#versions = new VersionUpdates({manifest: this.#manifest, directory: this.#directory, membership: this.#membership});
 		this.#atMostOnce = this.#createAtMostOnce();
 		const makeEvent = (details: EventDetails): NodeEffect => this.#event(details);
--- a/packages/manifest/src/http-store.ts
+++ b/packages/manifest/src/http-store.ts
@@ -14,7 +14,7 @@
 const maximumConnections = 4;
 
 const entrySchema = valibot.object({version: valibot.number(), value: valibot.string()});
-const listSchema = valibot.object({entries: valibot.array(entrySchema)});
+const listSchema = valibot.object({entries: valibot.array(valibot.object({...entrySchema.entries, key: valibot.string()}))});
 const conflictSchema = valibot.object({current: valibot.optional(entrySchema)});
 const writtenSchema = valibot.object({version: valibot.number()});
 const leaseSchema = valibot.object({lease: valibot.string()});
--- a/packages/manifest/src/store.ts
+++ b/packages/manifest/src/store.ts
@@ -10,6 +10,9 @@
 	readonly value: string;
 };
 
+/** An entry with its key. */
+export type KeyedEntry = StoreEntry & {readonly key: string};
+
 export enum SwapResultType {
 	Written = 'written',
 	Conflict = 'conflict',
@@ -35,7 +38,7 @@
 	/** Waits until the key has a version above the given one; undefined if that does not happen in time. */
 	readonly watch: (key: string, aboveVersion: number, waitMilliseconds: number) => Promise<StoreEntry | undefined>;
 	/** Reads all entries whose keys begin with the prefix. The entries may be seconds old. */
-	readonly list: (prefix: string) => Promise<readonly StoreEntry[]>;
+	readonly list: (prefix: string) => Promise<readonly KeyedEntry[]>;
 	/** Creates a lease and returns its id. */
 	readonly grantLease: (timeToLiveMilliseconds: number) => Promise<string>;
 	/** Extends a lease by its time to live; false if the lease has lapsed. */
--- a/packages/node/src/announcements.ts
+++ b/packages/node/src/announcements.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	AnnouncedState, ErrorKind, LaburnumspoolError, parseJson, type Announcement,
+	AnnouncedState, ErrorKind, isReachableTime, LaburnumspoolError, parseJson, type Announcement,
 } from '@laburnumspool/core';
 import * as valibot from 'valibot';
 
@@ -19,9 +19,9 @@
 	/** Incarnation of the upstream. */
 	instance: valibot.optional(valibot.string()),
 	/** Milliseconds since the epoch at the incarnation's start. */
-	birth: valibot.optional(valibot.pipe(valibot.number(), valibot.integer())),
+	birth: valibot.optional(valibot.pipe(valibot.number(), valibot.safeInteger(), valibot.check(birth => isReachableTime(birth, Date.now()), 'Expected a time that the clocks have reached'))),
 	/** Grows with each announcement of the incarnation. */
-	sequence: valibot.optional(valibot.pipe(valibot.number(), valibot.integer())),
+	sequence: valibot.optional(valibot.pipe(valibot.number(), valibot.safeInteger())),
 	/** Remaining time in which the upstream is slow after its start. */
 	coldMilliseconds: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0))),
 	state: valibot.enum(AnnouncedState),
--- a/packages/node/src/core-task.ts
+++ b/packages/node/src/core-task.ts
@@ -130,7 +130,8 @@
 
 /**
  * Runs a node core: posted messages are processed one at a time, in order, and their effects are executed at once.
- * An error thrown by the core or by a handler is logged, and processing continues with the next message.
+ * An error thrown by the core is logged, and processing continues with the next message; one thrown by a handler is logged
+ * and counted, and processing continues with the next effect.
  *
  * @example
  * const task = new CoreTask(definition, () => performance.now(), 20_000, log);
@@ -143,6 +144,7 @@
 	readonly #monotonicClock: () => number;
 	readonly #log: Logger;
 	readonly #mailbox: Mailbox<CoreMessage>;
+	#failedEffects = 0;
 	readonly #effectHandlers = new Map<NodeEffectType, (effect: NodeEffect) => void>();
 
 	constructor(definition: NodeDefinition, monotonicClock: () => number, eventCapacity: number, log: Logger) {
@@ -155,6 +157,11 @@
 		});
 	}
 
+	/** Number of effects whose handler threw an error. */
+	get failedEffects(): number {
+		return this.#failedEffects;
+	}
+
 	/** Registers handlers of effects. Each effect type has one handler; a later one replaces it. */
 	handle(effectHandlers: EffectHandlers): void {
 		Object.entries(effectHandlers).map(([type, handler]) => this.#effectHandlers.set(type as NodeEffectType, handler as (effect: NodeEffect) => void));
@@ -173,15 +180,25 @@
 				return effect;
 			});
 		} catch (error) {
-			this.#log.error(`processing a message of type ${message.type} failed: ${error instanceof Error ? error.stack ?? error.message : String(error)}`);
+			this.#logFailure('processing a message', message.type, error);
 		}
 	}
 
+	/** Effects of one message are independent: one that fails does not prevent the others, answers to callers among them. */
 	#executeEffect(effect: NodeEffect): void {
-		if (effect.type === NodeEffectType.Event) {
-			this.events.add(effect.event);
+		try {
+			if (effect.type === NodeEffectType.Event) {
+				this.events.add(effect.event);
+			}
+
+			this.#effectHandlers.get(effect.type)?.(effect);
+		} catch (error) {
+			this.#failedEffects += 1;
+			this.#logFailure('carrying out an effect', effect.type, error);
 		}
+	}
 
-		this.#effectHandlers.get(effect.type)?.(effect);
+	#logFailure(action: string, type: string, error: unknown): void {
+		this.#log.error(`${action} of type ${type} failed: ${error instanceof Error ? error.stack ?? error.message : String(error)}`, {event: `failed-${type}`});
 	}
 }
--- a/packages/node/src/gossip-socket.ts
+++ b/packages/node/src/gossip-socket.ts
@@ -5,10 +5,12 @@
  */
 import {type Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
+import {performance} from 'node:perf_hooks';
 import {NodeEffectType} from '@laburnumspool/core';
 import {decodeGossip, encodeGossip} from '@laburnumspool/protocol';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import type {Logger} from './logs.js';
+import {ProblemLog} from './problem-log.js';
 
 /** Traffic of the socket since it was created; `malformed` counts the received datagrams that could not be decoded. */
 export type GossipTraffic = {
@@ -20,7 +22,7 @@
 };
 
 /**
- * Sends gossip effects as datagrams and posts received datagrams to the core. Send errors and malformed datagrams are ignored.
+ * Sends gossip effects as datagrams and posts received datagrams to the core. Send errors are ignored; malformed datagrams are counted and logged.
  *
  * @example
  * const gossip = new GossipSocket(core, log);
@@ -33,14 +35,16 @@
 
 	readonly #core: CoreTask;
 	readonly #log: Logger;
+	readonly #problems: ProblemLog;
 	readonly #socket: Socket;
 
 	constructor(core: CoreTask, log: Logger) {
 		this.#core = core;
 		this.#log = log;
+		this.#problems = new ProblemLog(log, () => performance.now());
 		this.#socket = createSocket('udp4');
-		this.#socket.on('message', content => {
-			this.#receive(content);
+		this.#socket.on('message', (content, {address, port}) => {
+			this.#receive(content, `gossip of ${address}:${port}`);
 		});
 		this.#socket.on('error', error => {
 			this.#log.warn(`the gossip socket failed: ${error.message}`);
@@ -66,14 +70,17 @@
 		this.#socket.close();
 	}
 
-	#receive(content: Buffer): void {
+	#receive(content: Buffer, source: string): void {
 		this.traffic.receivedBytes += content.length;
 		this.traffic.receivedMessages += 1;
 		try {
-			const {message, clock} = decodeGossip(content);
+			const {message, clock} = decodeGossip(content, problem => {
+				this.#problems.report(source, problem);
+			});
 			this.#core.post({type: CoreMessageType.GossipArrived, message, clock});
-		} catch {
+		} catch (error) {
 			this.traffic.malformed += 1;
+			this.#problems.report(source, error instanceof Error ? error.message : String(error));
 		}
 	}
 }
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import {readFileSync} from 'node:fs';
-import {ErrorKind, LaburnumspoolError} from '@laburnumspool/core';
+import {
+	ErrorKind, LaburnumspoolError, memberHostSchema, memberNameSchema,
+} from '@laburnumspool/core';
 import {checkDocument, defaultManifestKey, parseYaml} from '@laburnumspool/manifest';
 import * as valibot from 'valibot';
 import {HeaderName} from './http-messages.js';
@@ -48,10 +50,10 @@
 
 /** Schema of the settings file. */
 export const settingsSchema = valibot.strictObject({
-	name: valibot.pipe(valibot.string(), valibot.regex(/^[a-z\d][a-z\d-]{0,62}$/u, 'Expected a name of lower-case letters, digits and hyphens')),
+	name: memberNameSchema,
 	region: text,
 	failureDomain: text,
-	host: text,
+	host: memberHostSchema,
 	ports: valibot.strictObject({
 		callers: port,
 		/** Calls of other nodes, TCP. */
--- a/packages/node/src/store-task.ts
+++ b/packages/node/src/store-task.ts
@@ -5,14 +5,14 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	chooseByRendezvous, holderKey, isDeadOrLeft, NodeEffectType, WriteResultType, type Holder, type Member, type RangeRecord, type Revision, type WriteResult,
+	checkMemberText, chooseByRendezvous, holderKey, isDeadOrLeft, NodeEffectType, WriteResultType, type Holder, type Member, type RangeRecord, type Revision, type WriteResult,
 } from '@laburnumspool/core';
 import {
-	SwapResultType, type Store, type StoreEntry,
+	SwapResultType, type KeyedEntry, type Store, type StoreEntry,
 } from '@laburnumspool/manifest';
-import {tryParseMember} from '@laburnumspool/protocol';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import type {Logger} from './logs.js';
+import {ProblemLog} from './problem-log.js';
 import {tryParseRecord} from './range-records.js';
 
 /** Longest wait of one watch request for a newer manifest. */
@@ -53,6 +53,7 @@
 export class StoreTask {
 	readonly #definition: StoreTaskDefinition;
 	readonly #stopController = new AbortController();
+	readonly #problems: ProblemLog;
 	#lease: string | undefined;
 	#hasHolderKey = false;
 	#consecutiveFailures = 0;
@@ -62,6 +63,7 @@
 
 	constructor(definition: StoreTaskDefinition) {
 		this.#definition = definition;
+		this.#problems = new ProblemLog(definition.log, definition.clock);
 		definition.core.handle({
 			[NodeEffectType.PullManifest]: ({from}) => {
 				void this.#fetchManifest(from);
@@ -101,13 +103,15 @@
 		}
 
 		this.#isReadingManifest = true;
-		if (!await this.#definition.pullManifest(from)) {
-			await this.#attempt(async () => {
-				this.#postManifest(await this.#definition.store.get(this.#definition.manifestKey));
-			});
+		try {
+			if (!await this.#definition.pullManifest(from)) {
+				await this.#attempt(async () => {
+					this.#postManifest(await this.#definition.store.get(this.#definition.manifestKey));
+				});
+			}
+		} finally {
+			this.#isReadingManifest = false;
 		}
-
-		this.#isReadingManifest = false;
 	}
 
 	async #renewLease(): Promise<void> {
@@ -146,10 +150,22 @@
 	async #readMembers(): Promise<void> {
 		const {core, store} = this.#definition;
 		const entries = await store.list(holdersPrefix);
-		const members = entries.flatMap(entry => tryParseMember(entry.value) ?? []);
+		const members = entries.flatMap(entry => this.#checkEntry(entry));
 		core.post({type: CoreMessageType.ViewArrived, members, rumors: []});
 	}
 
+	/** The member of an entry; none for an entry that is invalid or stands under the key of another member. */
+	#checkEntry({key, value}: KeyedEntry): Member[] {
+		const checked = checkMemberText(value);
+		const expectedKey = checked.success ? `${holdersPrefix}${holderKey(checked.value)}` : key;
+		if (checked.success && key === expectedKey) {
+			return [checked.value];
+		}
+
+		this.#problems.report(key, checked.success ? `its member belongs under ${expectedKey}` : checked.problem);
+		return [];
+	}
+
 	#memberPollMilliseconds(): number {
 		const count = this.#definition.core.core.membership.others.length;
 		return count === 0 ? memberPollWithoutPeersMilliseconds : Math.max(minimumMemberPollMilliseconds, count * memberPollMillisecondsPerMember);
--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -10,7 +10,7 @@
 	ErrorKind, Importance, LaburnumspoolError, Outcome, parseCallId, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
 } from '@laburnumspool/core';
 import {
-	isAny, isArray, isBoolean, isNonNegativeNumber, isNumber, isString, isStringArray, joinMessage, nullOr, parseHead, splitMessage, type Check,
+	isAny, isArray, isBoolean, isByteCount, isNonNegativeNumber, isNumber, isString, isStringArray, joinMessage, nullOr, parseHead, splitMessage, type Check,
 } from './message-head.js';
 import type {StringTableDecoder, StringTableEncoder, EncodedString} from './string-table.js';
 
@@ -34,6 +34,11 @@
 	headroom: number, level: number, downstreamLevel: number, draining: boolean, revision: number, servedMilliseconds: number, clock: HybridTime,
 ];
 
+/** Longest time that a call can have left. */
+const maximumTimeLeftMilliseconds = 600_000;
+
+const isCounter: Check = value => Number.isSafeInteger(value) && (value as number) >= 0;
+const isDuration: Check = value => isNonNegativeNumber(value) && value <= maximumTimeLeftMilliseconds;
 const isOneOf = (values: ReadonlySet<unknown>): Check => value => values.has(value);
 
 /** Checks of a call's head, one per value, in the order of `CallHead`. */
@@ -46,15 +51,15 @@
 	isAny,
 	isAny,
 	isOneOf(semantics),
-	isNumber,
+	isByteCount,
 	isOneOf(importances),
 	isNumber,
-	isNonNegativeNumber,
+	isDuration,
 	isNonNegativeNumber,
 	nullOr(isString),
-	isNumber,
+	isCounter,
 	isBoolean,
-	isNumber,
+	isCounter,
 	isString,
 	isString,
 	isArray,
@@ -78,8 +83,8 @@
 	isNumber,
 	isNumber,
 	isBoolean,
-	isNumber,
-	isNumber,
+	isCounter,
+	isNonNegativeNumber,
 	isNumber,
 ];
 
--- a/packages/protocol/src/control-codec.ts
+++ b/packages/protocol/src/control-codec.ts
@@ -4,10 +4,11 @@
  * @module
  */
 import {
-	ClaimState, ErrorKind, EventType, GossipType, LaburnumspoolError, Liveness, AtMostOnceMessageType, UpstreamState,
+	checkValue, ClaimState, ErrorKind, EventType, GossipType, keepValid, LaburnumspoolError, AtMostOnceMessageType, memberSchema, rumorSchema,
 	type AnswerPayload, type Claim, type GossipMessage, type HybridTime, type Member, type NodeEvent, type AtMostOnceMessage,
 } from '@laburnumspool/core';
 import {laburnumspool} from '../generated/control.js';
+import type {ReportProblem} from './view-codec.js';
 
 const {control} = laburnumspool;
 
@@ -30,7 +31,8 @@
 	return {...rest, ...location};
 }
 
-export function fromWireMember(wire: WireMember): Member {
+/** A member as it was received. Its values are not checked. */
+function fromWireMember(wire: WireMember): unknown {
 	return {
 		name: wire.name ?? '',
 		incarnation: wire.incarnation ?? 0,
@@ -41,9 +43,9 @@
 		peersPort: wire.peersPort ?? 0,
 		controlPort: wire.controlPort ?? 0,
 		service: wire.service ?? '',
-		state: toEnum(UpstreamState, wire.state, 'member.state'),
+		state: wire.state ?? '',
 		slots: wire.slots ?? 0,
-		liveness: toEnum(Liveness, wire.liveness, 'member.liveness'),
+		liveness: wire.liveness ?? '',
 	};
 }
 
@@ -63,22 +65,27 @@
 	}).finish();
 }
 
-/** Decodes a gossip datagram; throws `malformed`. */
-export function decodeGossip(content: Uint8Array): {readonly message: GossipMessage; readonly clock: HybridTime} {
+/** Decodes a gossip datagram; throws `malformed`. Invalid members other than the sender, and invalid rumors, are left out and reported. */
+export function decodeGossip(content: Uint8Array, report: ReportProblem = () => undefined): {readonly message: GossipMessage; readonly clock: HybridTime} {
 	const wire = decodeWire(() => control.Gossip.decode(content));
 	if (wire.sender === null || wire.sender === undefined) {
 		throw new LaburnumspoolError(ErrorKind.Malformed, 'sender: missing, expected a member');
 	}
 
+	const sender = checkValue(memberSchema, fromWireMember(wire.sender));
+	if (!sender.success) {
+		throw new LaburnumspoolError(ErrorKind.Malformed, `sender.${sender.problem}`);
+	}
+
 	return {
 		clock: wire.clock,
 		message: {
 			type: toEnum(GossipType, wire.type, 'type'),
 			sequence: wire.sequence,
-			sender: fromWireMember(wire.sender),
+			sender: sender.value,
 			target: wire.target,
-			members: wire.members.map(member => fromWireMember(member)),
-			rumors: wire.rumors.map(rumor => ({topic: rumor.topic ?? '', version: rumor.version ?? 0})),
+			members: keepValid(memberSchema, wire.members.map(member => fromWireMember(member)), report),
+			rumors: keepValid(rumorSchema, wire.rumors.map(rumor => ({topic: rumor.topic ?? '', version: rumor.version ?? 0})), report),
 		},
 	};
 }
--- a/packages/protocol/src/message-head.ts
+++ b/packages/protocol/src/message-head.ts
@@ -68,11 +68,11 @@
 }
 
 export function isNumber(value: unknown): value is number {
-	return typeof value === 'number';
+	return Number.isFinite(value);
 }
 
 export function isNonNegativeNumber(value: unknown): value is number {
-	return typeof value === 'number' && value >= 0;
+	return isNumber(value) && value >= 0;
 }
 
 export function isStringArray(value: unknown): value is string[] {
--- a/packages/protocol/src/string-table.ts
+++ b/packages/protocol/src/string-table.ts
@@ -55,7 +55,7 @@
 			return value;
 		}
 
-		const text = Array.isArray(value) ? this.#store(value[0]) : this.#strings[Number(value)];
+		const text = Array.isArray(value) ? this.#store(value[0]) : (typeof value === 'number' ? this.#strings[value] : undefined);
 		if (typeof text !== 'string') {
 			throw new LaburnumspoolError(ErrorKind.Malformed, `The message refers to a string that is not among the ${this.#strings.length} strings of the table`);
 		}
--- a/packages/protocol/src/tests/codecs.test.ts
+++ b/packages/protocol/src/tests/codecs.test.ts
@@ -96,7 +96,7 @@
 });
 
 test('random bytes are either decoded or refused as malformed', async t => {
-	fc.assert(fc.property(fc.uint8Array({maxLength: 200}), bytes => [decodeCall, decodeAnswer, decodeGossip].every(decode => {
+	fc.assert(fc.property(fc.uint8Array({maxLength: 200}), bytes => [decodeCall, decodeAnswer, (content: Buffer) => decodeGossip(content)].every(decode => {
 		try {
 			decode(Buffer.from(bytes), new StringTableDecoder());
 			return true;
--- a/packages/protocol/src/view-codec.ts
+++ b/packages/protocol/src/view-codec.ts
@@ -4,62 +4,48 @@
  * @module
  */
 import {
-	ErrorKind, LaburnumspoolError, Liveness, parseJson, UpstreamState,
+	checkValue, ErrorKind, keepValid, LaburnumspoolError, memberSchema, parseJson, rumorSchema, type Member, type Rumor,
 } from '@laburnumspool/core';
 import * as valibot from 'valibot';
 
-const port = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0), valibot.maxValue(65_535));
+/** Entries beyond this number are dropped; it is several times the size of the largest system. */
+const maximumMembers = 20_000;
+const maximumRumors = 1000;
+const maximumBuckets = 1024;
 
-export const memberSchema = valibot.object({
-	name: valibot.string(),
-	incarnation: valibot.number(),
-	version: valibot.number(),
-	location: valibot.object({region: valibot.string(), failureDomain: valibot.string()}),
-	host: valibot.string(),
-	callersPort: port,
-	peersPort: port,
-	controlPort: port,
-	service: valibot.string(),
-	state: valibot.enum(UpstreamState),
-	slots: valibot.number(),
-	liveness: valibot.enum(Liveness),
+const list = (maximumLength: number) => valibot.pipe(valibot.array(valibot.unknown()), valibot.maxLength(maximumLength));
+const viewRequestSchema = valibot.object({
+	sender: memberSchema, buckets: valibot.pipe(valibot.array(valibot.number()), valibot.maxLength(maximumBuckets)), rumors: list(maximumRumors),
 });
-
-const rumorSchema = valibot.object({topic: valibot.string(), version: valibot.number()});
-
-const viewRequestSchema = valibot.object({sender: memberSchema, buckets: valibot.array(valibot.number()), rumors: valibot.array(rumorSchema)});
-const viewReplySchema = valibot.object({members: valibot.array(memberSchema), rumors: valibot.array(rumorSchema)});
+const viewReplySchema = valibot.object({members: list(maximumMembers), rumors: list(maximumRumors)});
 
 /** The sender's own entry, its bucket digests, by which the other node finds the members that the sender lacks, and its rumors. */
-export type ViewRequest = valibot.InferOutput<typeof viewRequestSchema>;
+export type ViewRequest = {readonly sender: Member; readonly buckets: readonly number[]; readonly rumors: readonly Rumor[]};
 /** The members of the buckets whose digests differ, and the rumors of the replying node. */
-export type ViewReply = valibot.InferOutput<typeof viewReplySchema>;
+export type ViewReply = {readonly members: readonly Member[]; readonly rumors: readonly Rumor[]};
 
-/** Parses a view request; throws `malformed`, for JSON with the path of the first invalid field. */
-export function parseViewRequest(text: string): ViewRequest {
-	return parseView(viewRequestSchema, text);
-}
+/** Receives the path of the first invalid field of an entry that was left out, and what was expected. */
+export type ReportProblem = (problem: string) => void;
 
-/** Parses a view reply; throws `malformed`, for JSON with the path of the first invalid field. */
-export function parseViewReply(text: string): ViewReply {
-	return parseView(viewReplySchema, text);
+const ignoreProblem: ReportProblem = () => undefined;
+
+/** Parses a view request; throws `malformed`, for JSON with the path of the first invalid field. Invalid rumors are left out. */
+export function parseViewRequest(text: string, report = ignoreProblem): ViewRequest {
+	const {sender, buckets, rumors} = parseView(viewRequestSchema, text);
+	return {sender, buckets, rumors: keepValid(rumorSchema, rumors, report)};
 }
 
-/** Parses a member; undefined when the text is not a valid member. */
-export function tryParseMember(text: string): valibot.InferOutput<typeof memberSchema> | undefined {
-	try {
-		return parseView(memberSchema, text);
-	} catch {
-		return undefined;
-	}
+/** Parses a view reply; throws `malformed`, for JSON with the path of the first invalid field. Invalid members and rumors are left out. */
+export function parseViewReply(text: string, report = ignoreProblem): ViewReply {
+	const {members, rumors} = parseView(viewReplySchema, text);
+	return {members: keepValid(memberSchema, members, report), rumors: keepValid(rumorSchema, rumors, report)};
 }
 
 function parseView<Schema extends valibot.GenericSchema>(schema: Schema, text: string): valibot.InferOutput<Schema> {
-	const result = valibot.safeParse(schema, parseJson(text, ErrorKind.Malformed, 'The view is not JSON'));
-	if (!result.success) {
-		const [issue] = result.issues;
-		throw new LaburnumspoolError(ErrorKind.Malformed, `${valibot.getDotPath(issue) ?? 'view'}: ${issue.message}`);
+	const checked = checkValue(schema, parseJson(text, ErrorKind.Malformed, 'The view is not JSON'));
+	if (!checked.success) {
+		throw new LaburnumspoolError(ErrorKind.Malformed, checked.problem);
 	}
 
-	return result.output;
+	return checked.value;
 }
--- a/standins/store/src/store-server.ts
+++ b/standins/store/src/store-server.ts
@@ -186,8 +186,11 @@
 			'GET keys': () => {
 				const prefix = url.searchParams.get('prefix');
 				if (prefix !== null) {
-					const entries = this.state.keysWithPrefix(prefix).flatMap(key => this.state.read(key, now) ?? []);
-					return {status: 200, body: {entries: entries.map(entry => toBody(entry))}};
+					const entries = this.state.keysWithPrefix(prefix).flatMap(key => {
+						const entry = this.state.read(key, now);
+						return entry === undefined ? [] : [{key, ...toBody(entry)}];
+					});
+					return {status: 200, body: {entries}};
 				}
 
 				const entry = this.state.read(keyFromPath(url), now);
