Read the manifest from the store at a few nodes of each region only

Hypothesis of the issue, confirmed in the code: each node reads the manifest and waits for a change of it at its start, while it knows no other node and so takes itself for a watcher.

A node that knows others now expects the manifest from them for two seconds; the watchers of its region read it, and a node that has looked for others twice without finding one. An entry holds the values of its member as a list, less than half as long; objects are still read.

Test: store-task.test.ts, 24 nodes of three regions on one store: 6 read the manifest (24 before).

--- a/benchmarks/src/fuzz-targets.ts
+++ b/benchmarks/src/fuzz-targets.ts
@@ -5,7 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	checkMemberText, checkValue, createRecord, ErrorKind, formatIssue, GossipType, HybridClock, Importance, LaburnumspoolError, Liveness, memberSchema, Outcome, parseJson, recordSchema, rumorSchema,
+	checkMemberText, checkValue, createRecord, ErrorKind, formatIssue, formatMember, GossipType, HybridClock, Importance, LaburnumspoolError, Liveness, memberSchema, Outcome, parseJson, recordSchema, rumorSchema,
 	safeParseManifest, safeReadManifest, Semantics, UpstreamState, wallTimeOf, maximumClockLeadMilliseconds, type AnswerFrame, type CallFrame, type Member,
 } from '@laburnumspool/core';
 import {
@@ -156,6 +156,10 @@
 		const checked = checkMemberText(text);
 		return checked.success ? isMember(checked.value) : checked.problem !== '';
 	}),
+	target('member entries', oddDocument(JSON.parse(formatMember(exampleMember))), text => {
+		const checked = checkMemberText(text);
+		return checked.success ? isMember(checked.value) : checked.problem !== '';
+	}),
 	target('view requests', oddDocument({sender: exampleMember, buckets: [1, 2], rumors: [{topic: 'manifest', version: 9}]}), text => {
 		const view = decodeOrRefuse(() => parseViewRequest(text));
 		return view === undefined || isMember(view.sender);
--- a/packages/core/src/membership/member-schema.ts
+++ b/packages/core/src/membership/member-schema.ts
@@ -73,14 +73,32 @@
 	return {success: false, problem: `${valibot.getDotPath(issue) ?? 'value'}: ${issue.message}`};
 }
 
-/** Checks the text of one member. */
+/**
+ * A member as text, as short as possible: its values in a fixed order, as JSON.
+ *
+ * @example
+ * checkMemberText(formatMember(member)); // {success: true, value: member}
+ */
+export function formatMember({name, incarnation, version, location, host, callersPort, peersPort, controlPort, service, state, slots, liveness}: Member): string {
+	return JSON.stringify([name, incarnation, version, location.region, location.failureDomain, host, callersPort, peersPort, controlPort, service, state, slots, liveness]);
+}
+
+function toMemberDocument(values: readonly unknown[]): unknown {
+	const [name, incarnation, version, region, failureDomain, host, callersPort, peersPort, controlPort, service, state, slots, liveness] = values;
+	return {
+		name, incarnation, version, location: {region, failureDomain}, host, callersPort, peersPort, controlPort, service, state, slots, liveness,
+	};
+}
+
+/** Checks the text of one member: its values in the order of `formatMember`, or an object. */
 export function checkMemberText(text: string): CheckedValue<Member> {
 	if (text.length > maximumMemberLength) {
 		return {success: false, problem: `the text has ${text.length} characters, expected at most ${maximumMemberLength}`};
 	}
 
 	try {
-		return checkValue(memberSchema, JSON.parse(text));
+		const document: unknown = JSON.parse(text);
+		return checkValue(memberSchema, Array.isArray(document) ? toMemberDocument(document) : document);
 	} catch {
 		return {success: false, problem: 'the text is not JSON'};
 	}
--- a/packages/node/src/store-task.ts
+++ b/packages/node/src/store-task.ts
@@ -5,7 +5,7 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	checkMemberText, chooseByRendezvous, holderKey, isDeadOrLeft, NodeEffectType, WriteResultType, type Holder, type Member, type RangeRecord, type Revision, type WriteResult,
+	checkMemberText, chooseByRendezvous, formatMember, holderKey, isDeadOrLeft, NodeEffectType, WriteResultType, type Holder, type Member, type RangeRecord, type Revision, type WriteResult,
 } from '@laburnumspool/core';
 import {
 	SwapResultType, type KeyedEntry, type Store, type StoreEntry,
@@ -28,6 +28,12 @@
 const maximumBackoffMilliseconds = 1000;
 const holdersPrefix = 'holders/';
 
+/** Time after the start in which a node that knows others expects the manifest from them. */
+const manifestFromPeersMilliseconds = 2000;
+
+/** Reads of the members after which a node that knows no other one is the only one. Nodes that start together find each other by then. */
+const memberReadsOfOnlyNode = 2;
+
 export type StoreTaskDefinition = {
 	readonly core: CoreTask;
 	readonly store: Store;
@@ -56,6 +62,8 @@
 	readonly #problems: ProblemLog;
 	#lease: string | undefined;
 	#hasHolderKey = false;
+	#startedAt = 0;
+	#memberReads = 0;
 	#consecutiveFailures = 0;
 	#isReadingManifest = false;
 	/** Version of the manifest entry that was read last. */
@@ -81,6 +89,7 @@
 	}
 
 	start(): void {
+		this.#startedAt = this.#definition.clock();
 		void this.#repeat(async () => this.#renewLease(), () => this.#definition.leaseMilliseconds / 3);
 		void this.#repeat(async () => this.#readMembers(), () => this.#memberPollMilliseconds());
 		void this.#watchManifest();
@@ -137,7 +146,7 @@
 	async #writeHolderKey(lease: string): Promise<void> {
 		const {own} = this.#definition.core.core;
 		const key = `${holdersPrefix}${holderKey(own)}`;
-		const value = JSON.stringify(own);
+		const value = formatMember(own);
 		const result = await this.#definition.store.compareAndSwap(key, 0, value, lease);
 		if (result.type === SwapResultType.Conflict) {
 			await this.#definition.store.compareAndSwap(key, result.current?.version ?? 0, value, lease);
@@ -151,6 +160,7 @@
 		const {core, store} = this.#definition;
 		const entries = await store.list(holdersPrefix);
 		const members = entries.flatMap(entry => this.#checkEntry(entry));
+		this.#memberReads += 1;
 		core.post({type: CoreMessageType.ViewArrived, members, rumors: []});
 	}
 
@@ -173,17 +183,32 @@
 
 	/** Watches the manifest in the store from a few nodes of each region; the others receive new revisions from their peers. */
 	async #watchManifest(): Promise<void> {
-		const {core, store, manifestKey} = this.#definition;
+		const {store, manifestKey} = this.#definition;
 		await this.#repeat(async () => {
-			const {own, membership, manifest} = core.core;
-			const region = membership.members.filter(member => !isDeadOrLeft(member) && member.location.region === own.location.region);
-			const watchers = chooseByRendezvous('manifest', region, member => member.name, watchersPerRegion);
-			if (manifest === undefined || watchers.some(member => member.name === own.name)) {
+			if (this.#readsManifest()) {
 				this.#postManifest(await store.watch(manifestKey, this.#lastReadVersion, watchTimeoutMilliseconds));
 			}
 		}, () => basePauseMilliseconds);
 	}
 
+	/** Each call to the store is billed, so a node reads the manifest itself only where no other one is expected to send it. */
+	#readsManifest(): boolean {
+		const {core, clock} = this.#definition;
+		const {own, membership, manifest} = core.core;
+		if (manifest === undefined) {
+			const isOverdue = clock() - this.#startedAt >= manifestFromPeersMilliseconds;
+			const isOnlyNode = membership.others.length === 0 && this.#memberReads >= memberReadsOfOnlyNode;
+			return isOverdue || isOnlyNode || (membership.others.length > 0 && this.#isWatcher(own, membership.members));
+		}
+
+		return this.#isWatcher(own, membership.members);
+	}
+
+	#isWatcher(own: Member, members: readonly Member[]): boolean {
+		const region = members.filter(member => !isDeadOrLeft(member) && member.location.region === own.location.region);
+		return chooseByRendezvous('manifest', region, member => member.name, watchersPerRegion).some(member => member.name === own.name);
+	}
+
 	#postManifest(entry: StoreEntry | undefined): void {
 		const {core, log, readManifest} = this.#definition;
 		if (entry === undefined || entry.version <= this.#lastReadVersion) {
--- /dev/null
+++ b/packages/node/src/tests/store-task.test.ts
@@ -0,0 +1,143 @@
+import {
+	checkMemberText, formatMember, holderKey, Liveness, UpstreamState, type Member,
+} from '@laburnumspool/core';
+import {SwapResultType, type KeyedEntry, type Store} from '@laburnumspool/manifest';
+import {test, type Test} from 'tap';
+import {CoreTask} from '../core-task.js';
+import {defaultDeployment} from '../index.js';
+import {StoreTask} from '../store-task.js';
+import {createLookManifest, silentLog} from './fixtures.js';
+
+const nodeCount = 24;
+const stepMilliseconds = 50;
+
+const createMember = (index: number): Member => ({
+	name: `node-${index}`,
+	incarnation: 1,
+	version: 1,
+	location: {region: `r${index % 3}`, failureDomain: `f${index % 6}`},
+	host: `10.0.0.${index + 1}`,
+	callersPort: 1,
+	peersPort: 2,
+	controlPort: 3,
+	service: 'shop',
+	state: UpstreamState.Ready,
+	slots: 4,
+	liveness: Liveness.Alive,
+});
+
+/** A store in memory that counts calls. All nodes share it; a watch ends at once when there is a manifest. */
+class StoreStub {
+	readonly calls = new Map<string, number>();
+	readonly entries = new Map<string, KeyedEntry>();
+
+	count(name: string): void {
+		this.calls.set(name, (this.calls.get(name) ?? 0) + 1);
+	}
+
+	open(): Store {
+		return {
+			get: async key => this.entries.get(key),
+			compareAndSwap: async (key, _version, value) => {
+				this.count('write');
+				this.entries.set(key, {key, version: this.entries.size + 1, value});
+				return {type: SwapResultType.Written, version: this.entries.size};
+			},
+			watch: async key => {
+				this.count('watch');
+				return this.entries.get(key);
+			},
+			list: async prefix => {
+				this.count('list');
+				return [...this.entries.values()].filter(entry => entry.key.startsWith(prefix));
+			},
+			grantLease: async () => 'lease',
+			renewLease: async () => true,
+			async revokeLease() {
+				// Leases do not lapse here.
+			},
+			async close() {
+				// Nothing is open.
+			},
+		};
+	}
+}
+
+type Started = {readonly core: CoreTask; readonly task: StoreTask};
+
+function startTask(store: StoreStub, own: Member, clock: () => number): Started {
+	const core = new CoreTask({
+		own,
+		wallClock: () => 1000,
+		random: () => 0.5,
+		newActionId: () => 'a'.repeat(32),
+		membershipTimes: {probeIntervalMilliseconds: 1000, suspicionMilliseconds: 3000, exchangeIntervalMilliseconds: 10_000},
+		claimLimits: {maximumClaims: 1, maximumAnswerBytes: 1},
+		storeOutageLimitMilliseconds: 1000,
+		clockErrorMilliseconds: 1,
+	}, clock, 0, silentLog);
+	const task = new StoreTask({
+		core, store: store.open(), log: silentLog, clock, random: () => 0.5, leaseMilliseconds: 10_000, manifestKey: 'manifest',
+		readManifest: entry => defaultDeployment.toRevision(entry.version, entry.value),
+		pullManifest: async () => false,
+	});
+	task.start();
+	return {core, task};
+}
+
+async function settle(t: Test, milliseconds: number): Promise<void> {
+	const until = performance.now() + milliseconds;
+	while (performance.now() < until) {
+		await new Promise(resolve => {
+			setTimeout(resolve, stepMilliseconds);
+		});
+	}
+
+	t.pass('the periodic steps have run');
+}
+
+test('of many nodes that start together, only a few of each region read the manifest from the store', async t => {
+	const store = new StoreStub();
+	const members = Array.from({length: nodeCount}, (_, index) => createMember(index));
+	members.map(member => store.entries.set(`holders/${holderKey(member)}`, {key: `holders/${holderKey(member)}`, version: 1, value: formatMember(member)}));
+	store.entries.set('manifest', {key: 'manifest', version: 1, value: createLookManifest(1000)});
+	const started = members.map(member => startTask(store, member, () => performance.now()));
+	await settle(t, 700);
+	const withManifest = started.filter(({core}) => core.core.manifest !== undefined).length;
+	t.equal(withManifest, 6, 'two of each of three regions');
+	t.equal(store.calls.get('write'), nodeCount);
+	await Promise.all(started.map(async ({task}) => task.stop()));
+});
+
+test('a node reads the manifest itself when no other node sends one', async t => {
+	const store = new StoreStub();
+	const others = Array.from({length: nodeCount}, (_, index) => createMember(index));
+	others.map(member => store.entries.set(`holders/${holderKey(member)}`, {key: `holders/${holderKey(member)}`, version: 1, value: formatMember(member)}));
+	store.entries.set('manifest', {key: 'manifest', version: 1, value: createLookManifest(1000)});
+	let ahead = 0;
+	const started = others.map(member => startTask(store, member, () => performance.now() + ahead));
+	await settle(t, 400);
+	t.ok(started.some(({core}) => core.core.manifest === undefined));
+	ahead = 2000;
+	await settle(t, 700);
+	t.ok(started.every(({core}) => core.core.manifest !== undefined));
+	await Promise.all(started.map(async ({task}) => task.stop()));
+});
+
+test('a node that is alone reads the manifest after its second look for others', async t => {
+	const store = new StoreStub();
+	store.entries.set('manifest', {key: 'manifest', version: 1, value: createLookManifest(1000)});
+	const {core, task} = startTask(store, createMember(0), () => performance.now());
+	while (core.core.manifest === undefined) {
+		await settle(t, stepMilliseconds);
+	}
+
+	t.ok((store.calls.get('list') ?? 0) >= 2);
+	await task.stop();
+});
+
+test('the entry of a member is at most half as long as its JSON object, and both are read', async t => {
+	const member = createMember(3);
+	t.ok(formatMember(member).length < JSON.stringify(member).length / 2);
+	t.same([formatMember(member), JSON.stringify(member)].map(text => checkMemberText(text)), [{success: true, value: member}, {success: true, value: member}]);
+});
