Tell calls with a derived key apart, and wait for a rollout through failed reads

Two nested calls with the same derived key and other bodies had the same empty digest, so a reused key could not be detected.

The digest is computed wherever a key comes from.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -47,6 +47,7 @@
 export * from './at-most-once/primary-role.js';
 export * from './at-most-once/range-directory.js';
 export * from './at-most-once/record.js';
+export * from './at-most-once/request-digest.js';
 export * from './routing/candidates.js';
 export * from './routing/peer-loads.js';
 export * from './routing/rendezvous.js';
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -18,7 +18,7 @@
 	readonly target: string;
 	readonly headers: RawHeaders;
 	readonly body: Uint8Array;
-	/** Digest of method, target and body; empty when the caller sent no idempotency key. */
+	/** Digest of method, target and body; empty when the request has no idempotency key. */
 	readonly digest: string;
 };
 
--- a/packages/core/src/node/caller-requests.ts
+++ b/packages/core/src/node/caller-requests.ts
@@ -7,6 +7,7 @@
 import {allowedMilliseconds} from '../action/deadline.js';
 import {RetryQuota} from '../action/retry-quota.js';
 import {parseTraceContext, type TraceContext} from '../action/trace-context.js';
+import {requestDigest} from '../at-most-once/request-digest.js';
 import type {EntryRequest} from '../entry/entry-call.js';
 import {ErrorKind} from '../errors.js';
 import {cohortOf, priorityOf} from '../importance.js';
@@ -61,6 +62,7 @@
 	const parent = context.parentOf(traceContext?.parentCallId) ?? context.parentOfRequest(parentRequestId(caller.requestId ?? ''));
 	const action = toAction(traceContext, parent, context);
 	const importance = parent?.frame.importance ?? policy.importance;
+	const key = keyFor(caller, policy, parent, context);
 	const parentMilliseconds = parent === undefined ? undefined : parent.work.deadline - now;
 	return {
 		success: true,
@@ -76,8 +78,8 @@
 			priority: parent?.frame.priority ?? priorityOf(importance, cohortOf(action.actionId)),
 			deadline: now + allowedMilliseconds(policy.waitMilliseconds, caller.timeoutMilliseconds, parentMilliseconds),
 			retryQuota: retryQuotaFor(traceContext, parent, context.manifest),
-			key: keyFor(caller, policy, parent, context),
-			request: caller.request,
+			key,
+			request: key === undefined || caller.request.digest !== '' ? caller.request : {...caller.request, digest: requestDigest(caller.request)},
 		},
 	};
 }
--- a/packages/manifest/src/main.ts
+++ b/packages/manifest/src/main.ts
@@ -14,6 +14,7 @@
 import {ExitCode, runCommandLine, version} from './command-line.js';
 import {openHttpStore} from './http-store.js';
 import {parseManifest} from './manifest-document.js';
+import {waitForRollout} from './rollout.js';
 import {readLiveNodes, readRolloutStatus} from './rollout-status.js';
 import {ship, ShipResultType, type ShipResult} from './ship.js';
 import {parseShippedManifest} from './shipped-manifest.js';
@@ -23,6 +24,7 @@
 const shipRetryDelayMilliseconds = 300;
 const rolloutPollMilliseconds = 100;
 const defaultWaitSeconds = 30;
+const maximumWaitSeconds = 86_400;
 
 type ShipOptions = {
 	readonly store?: string;
@@ -73,6 +75,11 @@
 		throw new LaburnumspoolError(ErrorKind.Malformed, '--wait: requires --node HOST:PORT, a node that lists the live nodes');
 	}
 
+	const {timeout} = options;
+	if (timeout !== undefined && !(timeout >= 0 && timeout <= maximumWaitSeconds)) {
+		throw new LaburnumspoolError(ErrorKind.Malformed, `--timeout: expected 0 to ${maximumWaitSeconds} seconds, received ${String(timeout)}`);
+	}
+
 	const document = await readManifestFile(file);
 	return withStore(options.store, async store => {
 		const result = await ship(store, {
@@ -103,25 +110,21 @@
 }
 
 async function waitUntilInForce(node: string, revision: number, timeoutSeconds: number): Promise<ExitCode> {
-	const startedAt = Date.now();
-	const isTimedOut = (): boolean => Date.now() - startedAt >= timeoutSeconds * 1000;
-	const poll = async (): Promise<ExitCode> => {
-		const status = await readRolloutStatus(await readLiveNodes(node), revision);
-		if (status.outdatedNodes.length === 0) {
-			print(`in force on ${status.activeCount} of ${status.liveCount} live nodes after ${Date.now() - startedAt} ms`);
-			return ExitCode.Success;
-		}
-
-		if (isTimedOut()) {
-			print(`in force on ${status.activeCount} of ${status.liveCount} live nodes; not yet on ${status.outdatedNodes.join(', ')}`);
-			return ExitCode.Failure;
-		}
-
-		await delay(rolloutPollMilliseconds);
-		return poll();
-	};
+	const {isInForce, elapsedMilliseconds, status} = await waitForRollout({
+		readStatus: async () => readRolloutStatus(await readLiveNodes(node), revision),
+		timeoutMilliseconds: timeoutSeconds * 1000,
+		now: () => Date.now(),
+		pause: async () => delay(rolloutPollMilliseconds),
+	});
+	if (isInForce) {
+		print(`in force on ${status!.activeCount} of ${status!.liveCount} live nodes after ${elapsedMilliseconds} ms`);
+		return ExitCode.Success;
+	}
 
-	return poll();
+	print(status === undefined
+		? `unknown where it is in force: ${node} did not list the live nodes`
+		: `in force on ${status.activeCount} of ${status.liveCount} live nodes; not yet on ${status.outdatedNodes.join(', ')}`);
+	return ExitCode.Failure;
 }
 
 async function showManifest(options: {readonly store?: string}): Promise<ExitCode> {
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {type Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -12,7 +11,7 @@
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
-	ErrorKind, LaburnumspoolError, NodeEffectType, Outcome, type AnswerHead, type CallerAnswer, type CallerLimits, type CallerRequest, type NodeEffect,
+	ErrorKind, LaburnumspoolError, NodeEffectType, Outcome, requestDigest, type AnswerHead, type CallerAnswer, type CallerLimits, type CallerRequest, type NodeEffect,
 } from '@laburnumspool/core';
 import type {AnswerStreams} from './answer-streams.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
@@ -323,7 +322,7 @@
 				target,
 				headers: headers.callerService === undefined || service === undefined ? passedHeaders : [...passedHeaders, headers.callerService, service],
 				body,
-				digest: key === undefined ? '' : createHash('sha256').update(`${method} ${target}\n`).update(body).digest('hex'),
+				digest: key === undefined ? '' : requestDigest({method, target, body}),
 			},
 			key,
 			timeoutMilliseconds: parseTimeout(headers.timeLeft, headerValue(request, headers.timeLeft)),
