Pass over upstreams that refuse a fifth of their calls while others have room

Only calls without an answer counted against a peer.

Refusals count too, by kind and with the same hold and decay: a peer whose upstream refuses a fifth of its recent calls is used while no other has headroom, and for a few trial calls.

--- a/benchmarks/src/virtual-node.ts
+++ b/benchmarks/src/virtual-node.ts
@@ -67,6 +67,8 @@
 	isPaused = false;
 	/** Failure of every call of the upstream while it is set; checked when a call starts. */
 	upstreamFailure: UpstreamFailure | undefined;
+	/** Share of the calls of the upstream that it refuses at once without running them. */
+	refusedShare = 0;
 	/** Multiplies the upstream's service times. */
 	slowdownFactor = 1;
 	lastEntryId = 0;
--- a/benchmarks/src/virtual-system.ts
+++ b/benchmarks/src/virtual-system.ts
@@ -34,6 +34,8 @@
 	readonly nodes: VirtualNode[];
 	readonly upstreamCalls: UpstreamCall[] = [];
 	readonly events: NodeEvent[] = [];
+	/** Number of calls that upstreams refused without running them. */
+	refusedCalls = 0;
 	readonly store = {
 		records: new Map<string, VersionedRecord>(), holders: new Set<string>(), isDown: false, version: 0,
 	};
@@ -299,6 +301,12 @@
 
 	#dispatch(node: VirtualNode, dispatch: Extract<NodeEffect, {type: NodeEffectType.Dispatch}>): void {
 		const {callId, request, traceparent, tracestate} = dispatch;
+		if (node.refusedShare > 0 && this.#random() < node.refusedShare) {
+			this.refusedCalls += 1;
+			this.#endDispatch(node, callId, () => node.core.upstreamFailed(callId, UpstreamFailure.Refused, this.#now), 0);
+			return;
+		}
+
 		const failure = node.upstreamFailure;
 		if (failure === UpstreamFailure.NotConnected) {
 			this.#endDispatch(node, callId, () => node.core.upstreamFailed(callId, failure, this.#now), 0);
--- a/packages/core/src/entry/entry-coordinator.ts
+++ b/packages/core/src/entry/entry-coordinator.ts
@@ -21,7 +21,7 @@
 const primaryLookupPauseMilliseconds = 50;
 const gatewayTimeoutStatus = 504;
 
-/** Refusals of calls that have reached an upstream; sending such a call again counts as a retry. */
+/** Refusals of calls that have reached an upstream; an offer to another one counts against the limits. */
 const upstreamRefusalKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.UpstreamRefused, ErrorKind.NotServed]);
 
 /** Errors of calls that may have run and that count against the upstream, unlike a disconnected caller or a preemption. */
@@ -103,6 +103,7 @@
 		}
 
 		this.#definition.loads.callAnswered(sentCall.destination.member.name, state.request.policy.kind, frame.serving, now - sentCall.sentAt, now);
+		this.#recordUpstreamRefusal(state, sentCall, frame, now);
 		if (frame.answer !== undefined) {
 			this.#recordUpstreamOutcome(state, sentCall, frame.answer.status !== gatewayTimeoutStatus, now);
 		} else if (frame.outcome !== Outcome.NotRun && frame.error !== undefined && upstreamFailureKinds.has(frame.error.kind)) {
@@ -364,6 +365,12 @@
 		this.#definition.loads.recordUpstreamOutcome(member.name, kind, isAnswered, now);
 	}
 
+	#recordUpstreamRefusal({request: {policy: {kind}}}: EntryState, {destination: {member}}: SentCall, {answer, error}: AnswerFrame, now: number): void {
+		if (answer !== undefined || error?.kind === ErrorKind.UpstreamRefused) {
+			this.#definition.loads.recordUpstreamRefusal(member.name, kind, answer === undefined, now);
+		}
+	}
+
 	#stateOf(callId: string): EntryState | undefined {
 		const entryId = this.#entryIdByCallId.get(callId);
 		return entryId === undefined ? undefined : this.#calls.get(entryId);
--- a/packages/core/src/routing/peer-loads.ts
+++ b/packages/core/src/routing/peer-loads.ts
@@ -18,13 +18,19 @@
 const unreachableMilliseconds = 500;
 const unansweredSmoothingFactor = 0.3;
 
-/** A share of unanswered calls keeps its value for the hold time and then decays by its half-life, so that an avoided peer is tried again. */
-const unansweredHoldMilliseconds = 2000;
-const unansweredHalfLifeMilliseconds = 4000;
+/** Refusals cost no time, so more of them are counted before a peer is avoided than of calls that run into their deadline. */
+const refusedSmoothingFactor = 0.1;
+
+/** A share of unanswered or refused calls keeps its value for the hold time and then decays by its half-life, so that an avoided peer is tried again. */
+const failureHoldMilliseconds = 2000;
+const failureHalfLifeMilliseconds = 4000;
 
 /** Overload levels that a peer reported for a kind: its own, and that of the services that the kind depends on. */
 export type PeerLevel = {readonly own: number; readonly downstream: number; readonly reportedAt: number};
 
+/** Share of the recent calls that failed in one way, by request kind. */
+type FailureShares = Map<string, {readonly share: number; readonly at: number}>;
+
 type PeerLoad = {
 	outstanding: number;
 	headroom: number;
@@ -37,7 +43,8 @@
 	version: number;
 	slots: number;
 	readonly levels: Map<string, PeerLevel>;
-	readonly unanswered: Map<string, {readonly share: number; readonly at: number}>;
+	readonly unanswered: FailureShares;
+	readonly refused: FailureShares;
 };
 
 /**
@@ -74,13 +81,12 @@
 
 	/** Recent share of the calls of the kind that the peer's upstream may have run and did not answer in time. */
 	unansweredShare(peer: string, kind: string, now: number): number {
-		const unanswered = this.#peers.get(peer)?.unanswered.get(kind);
-		if (unanswered === undefined) {
-			return 0;
-		}
+		return shareOf(this.#peers.get(peer)?.unanswered, kind, now);
+	}
 
-		const idle = Math.max(0, now - unanswered.at - unansweredHoldMilliseconds);
-		return unanswered.share * (2 ** -(idle / unansweredHalfLifeMilliseconds));
+	/** Recent share of the calls of the kind that the peer's upstream refused without running them, although its node had sent them. */
+	refusedShare(peer: string, kind: string, now: number): number {
+		return shareOf(this.#peers.get(peer)?.refused, kind, now);
 	}
 
 	isDraining(peer: string): boolean {
@@ -117,8 +123,12 @@
 
 	/** Records whether the peer's upstream answered in time. Only calls that the upstream may have run count. */
 	recordUpstreamOutcome(peer: string, kind: string, isAnswered: boolean, now: number): void {
-		const share = this.unansweredShare(peer, kind, now);
-		this.#entry(peer).unanswered.set(kind, {share: share + (unansweredSmoothingFactor * ((isAnswered ? 0 : 1) - share)), at: now});
+		updateShare(this.#entry(peer).unanswered, kind, isAnswered ? 0 : 1, unansweredSmoothingFactor, now);
+	}
+
+	/** Records whether the peer's upstream refused a call that it was sent. */
+	recordUpstreamRefusal(peer: string, kind: string, isRefused: boolean, now: number): void {
+		updateShare(this.#entry(peer).refused, kind, isRefused ? 1 : 0, refusedSmoothingFactor, now);
 	}
 
 	/** Records a call that ended without an answer. */
@@ -167,8 +177,24 @@
 			slots: 0,
 			levels: new Map(),
 			unanswered: new Map(),
+			refused: new Map(),
 		};
 		this.#peers.set(peer, created);
 		return created;
 	}
 }
+
+function shareOf(shares: FailureShares | undefined, kind: string, now: number): number {
+	const entry = shares?.get(kind);
+	if (entry === undefined) {
+		return 0;
+	}
+
+	const idle = Math.max(0, now - entry.at - failureHoldMilliseconds);
+	return entry.share * (2 ** -(idle / failureHalfLifeMilliseconds));
+}
+
+function updateShare(shares: FailureShares, kind: string, outcome: 0 | 1, smoothingFactor: number, now: number): void {
+	const share = shareOf(shares, kind, now);
+	shares.set(kind, {share: share + (smoothingFactor * (outcome - share)), at: now});
+}
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -13,6 +13,7 @@
 
 const minimumKnownLevels = 2;
 const maximumUnansweredShare = 0.5;
+const maximumRefusedShare = 0.2;
 
 /** Share of calls that may go to an unresponsive peer, to detect its recovery. */
 const trialShare = 0.03;
@@ -135,10 +136,12 @@
 
 	/**
 	 * Candidates with a responsive upstream, or all if there is none. A slow or broken upstream ends its calls without an
-	 * answer, so it always reports headroom and would attract the traffic.
+	 * answer, and one that sheds load refuses them at once, so both always report headroom and would attract the traffic.
+	 * This answers a load under which one upstream of the nearest group fails many of its calls while others have room.
 	 */
 	#responsive(candidates: readonly Candidate[], kind: string, now: number): readonly Candidate[] {
-		const responsive = candidates.filter(({member}) => this.loads.unansweredShare(member.name, kind, now) < maximumUnansweredShare);
+		const responsive = candidates.filter(({member: {name}}) => this.loads.unansweredShare(name, kind, now) < maximumUnansweredShare
+			&& this.loads.refusedShare(name, kind, now) < maximumRefusedShare);
 		const isTrial = responsive.length < candidates.length && this.#random() < trialShare;
 		return responsive.length === 0 || isTrial ? candidates : responsive;
 	}
