Offer refused calls again by priority, within a budget of their own

The quota of an action was 3, of which each hop reserves one, so none was left at the deepest hop; the retry budget was spent on whichever calls came first.

A call that an upstream refused without running it may be offered to another one from a budget for offers, beside the retry budget: a tenth of the successes, to the calls with the highest priority first. The priority of an action is the same at all nodes, so the offers go to all calls of the same few actions. The quota of an action in a manifest of routes is 6 for the whole chain.

--- a/benchmarks/src/tests/shedding-upstreams.test.ts
+++ b/benchmarks/src/tests/shedding-upstreams.test.ts
@@ -33,14 +33,19 @@
 const refusedShare = 0.5;
 const seeds = [1, 2, 3];
 
+/** Few requests are served while half of all calls are refused, so a comparison needs more of them. */
+const comparedSeeds = Array.from({length: 12}, (_, index) => index + 1);
+
+/** Twice the standard error of the difference between two arms. */
+const tolerance = 0.012;
 const deployedRetries = {burst: 2, share: 0.05};
 
 type Served = {readonly browses: number; readonly orders: number; readonly offers: number; readonly lookups: number};
 
 /** Shares of the customers' requests that are served while the matching upstreams of the deepest service refuse half of their calls. */
-function run(seed: number, isShedding: (name: string) => boolean): Served {
+function run(seed: number, offerShare: number, isShedding: (name: string) => boolean): Served {
 	const system = new VirtualSystem({
-		seed, manifest, services, retries: deployedRetries, admissionMechanisms: {...allAdmissionMechanisms, adaptiveLimit: false},
+		seed, manifest, services, retries: {...deployedRetries, offerShare}, admissionMechanisms: {...allAdmissionMechanisms, adaptiveLimit: false},
 	});
 	const random = seededRandom(seed + 100);
 	system.runUntil(settleMilliseconds);
@@ -63,9 +68,18 @@
 const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
 
 test('while one upstream of a deep service refuses half of its calls, the others get nearly all of them', async t => {
-	const results = seeds.map(seed => run(seed, name => name === 'deliveries-0'));
+	const results = seeds.map(seed => run(seed, 0.1, name => name === 'deliveries-0'));
 	const refused = mean(results.map(({offers, lookups}) => offers / lookups));
 	t.ok(refused < 0.03, `${refused.toFixed(3)} of the calls were refused`);
 	t.ok(mean(results.map(({orders}) => orders)) > 0.95);
 	t.ok(mean(results.map(({browses}) => browses)) > 0.95);
 });
+
+test('while all upstreams of a deep service refuse half of their calls, offers to others serve more orders and no fewer browses', async t => {
+	const withOffers = comparedSeeds.map(seed => run(seed, 0.1, () => true));
+	const without = comparedSeeds.map(seed => run(seed, 0, () => true));
+	const [orders, ordersBefore] = [withOffers, without].map(results => mean(results.map(result => result.orders)));
+	const [browses, browsesBefore] = [withOffers, without].map(results => mean(results.map(result => result.browses)));
+	t.ok(orders! > ordersBefore!, `orders ${orders!.toFixed(3)}, without offers ${ordersBefore!.toFixed(3)}`);
+	t.ok(browses! >= browsesBefore! - tolerance, `browses ${browses!.toFixed(3)}, without offers ${browsesBefore!.toFixed(3)}`);
+});
--- a/packages/core/src/action/offer-budget.ts
+++ b/packages/core/src/action/offer-budget.ts
@@ -13,7 +13,7 @@
 /** Offers that can accumulate. */
 const maximumTokens = 2;
 
-/** Rise of the level for an offer that lacks a token, and its fall for a call that earns a share while no token is lacking. */
+/** Rise of the level for an offer that lacks a token, and its fall for a success while no token is lacking. */
 const levelRise = 4;
 const levelFall = 1;
 
@@ -22,23 +22,22 @@
  *
  * @example
  * const budget = new OfferBudget(0.1);
- * budget.recordCall(); // every call earns a tenth of an offer
+ * budget.recordSuccess(); // every success earns a tenth of an offer
  * budget.trySpend(priority); // whether a refused call of this priority is offered again
  */
 export class OfferBudget {
-	readonly #earnedPerCall: number;
+	readonly #earnedPerSuccess: number;
 	#tokens = 0;
 	/** Lowest priority whose refused calls are offered again. */
 	#level = 0;
 
-	/** @param earnedPerCall - offers that each call earns */
-	constructor(earnedPerCall: number) {
-		this.#earnedPerCall = earnedPerCall;
+	/** @param earnedPerSuccess - offers that each success earns */
+	constructor(earnedPerSuccess: number) {
+		this.#earnedPerSuccess = earnedPerSuccess;
 	}
 
-	/** Records a call to the service, whether or not it succeeds. */
-	recordCall(): void {
-		this.#tokens = Math.min(maximumTokens, this.#tokens + this.#earnedPerCall);
+	recordSuccess(): void {
+		this.#tokens = Math.min(maximumTokens, this.#tokens + this.#earnedPerSuccess);
 		this.#level = this.#tokens === maximumTokens ? Math.max(0, this.#level - levelFall) : this.#level;
 	}
 
--- a/packages/core/src/entry/attempt-limits.ts
+++ b/packages/core/src/entry/attempt-limits.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import {OfferBudget} from '../action/offer-budget.js';
 import {RetryBudget} from '../action/retry-budget.js';
 import {Importance} from '../importance.js';
 import {isIdempotent} from '../manifest/model.js';
@@ -15,6 +16,8 @@
 const maximumRefusalsCritical = 4;
 const maximumRefusals = 2;
 
+type LimitsDefinition = Pick<EntryDefinition, 'mechanisms' | 'retryBurst' | 'retryBudgetRatio' | 'offerRatio'>;
+
 /**
  * Limits on the attempts of the calls of one entry node. Each query is counted, also when its result is false:
  * `tryOfferAgain` counts a refusal, and `trySpendRetry` an attempt.
@@ -25,10 +28,11 @@
  * limits.tryRetry(state); // false for at-most-once calls, and when the budget or the quota is spent
  */
 export class AttemptLimits {
-	readonly #definition: Pick<EntryDefinition, 'mechanisms' | 'retryBurst' | 'retryBudgetRatio'>;
+	readonly #definition: LimitsDefinition;
 	readonly #retryBudgets = new Map<string, RetryBudget>();
+	readonly #offerBudgets = new Map<string, OfferBudget>();
 
-	constructor(definition: Pick<EntryDefinition, 'mechanisms' | 'retryBurst' | 'retryBudgetRatio'>) {
+	constructor(definition: LimitsDefinition) {
 		this.#definition = definition;
 	}
 
@@ -61,9 +65,41 @@
 		return (!retryBudget || this.#retryBudgetOf(state.request.service).trySpend()) && (state.request.retryQuota.trySpend() || !retryQuota);
 	}
 
-	/** Adds to the retry budget of the service after a call of it succeeded. */
+	/**
+	 * Whether a call that an upstream refused without running it may be sent to another upstream. The offer is taken from the
+	 * retry budget of the service, or from its budget for offers when that is spent, and from the quota of the action.
+	 */
+	trySpendOffer(state: EntryState): boolean {
+		state.attempts += 1;
+		const {policy, retryQuota, service, priority} = state.request;
+		if (state.attempts >= (policy.attempts ?? Infinity)) {
+			return false;
+		}
+
+		const {retryBudget = true, retryQuota: isQuotaUsed = true} = this.#definition.mechanisms ?? {};
+		if (isQuotaUsed && retryQuota.remaining < 1) {
+			return false;
+		}
+
+		const isAllowed = !retryBudget || this.#retryBudgetOf(service).trySpend() || this.#offerBudgetOf(service).trySpend(priority);
+		return isAllowed && (retryQuota.trySpend() || !isQuotaUsed);
+	}
+
+	/** Adds to both budgets of the service after a call of it succeeded. */
 	recordSuccess(service: string): void {
 		this.#retryBudgetOf(service).recordSuccess();
+		this.#offerBudgetOf(service).recordSuccess();
+	}
+
+	#offerBudgetOf(service: string): OfferBudget {
+		const known = this.#offerBudgets.get(service);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const budget = new OfferBudget(this.#definition.offerRatio());
+		this.#offerBudgets.set(service, budget);
+		return budget;
 	}
 
 	#retryBudgetOf(service: string): RetryBudget {
--- a/packages/core/src/entry/entry-coordinator.ts
+++ b/packages/core/src/entry/entry-coordinator.ts
@@ -303,7 +303,7 @@
 				return this.#locateLater(state, error, now);
 			}
 
-			if (outcome === Outcome.NotRun && errorAnswer.mayTryOtherNode && this.#limits.tryOfferAgain(state) && (!upstreamRefusalKinds.has(error.kind) || this.#limits.trySpendRetry(state))) {
+			if (outcome === Outcome.NotRun && errorAnswer.mayTryOtherNode && this.#limits.tryOfferAgain(state) && (!upstreamRefusalKinds.has(error.kind) || this.#limits.trySpendOffer(state))) {
 				return this.#locateAndSend(state, now);
 			}
 
--- a/packages/core/src/entry/entry-definition.ts
+++ b/packages/core/src/entry/entry-definition.ts
@@ -29,6 +29,8 @@
 	readonly revision: () => number;
 	/** Retries that each success adds to the retry budget of its service. */
 	readonly retryBudgetRatio: () => number;
+	/** Offers to another upstream, after one refused a call without running it, that each success earns. */
+	readonly offerRatio: () => number;
 	/** Retries towards one service that are available at the start, and the most that can accumulate. */
 	readonly retryBurst?: number;
 	readonly mechanisms?: EntryMechanisms;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from './action/call-ids.js';
 export * from './action/deadline.js';
+export * from './action/offer-budget.js';
 export * from './action/retry-quota.js';
 export * from './action/retry-budget.js';
 export * from './action/trace-context.js';
--- a/packages/core/src/manifest/routes-manifest.ts
+++ b/packages/core/src/manifest/routes-manifest.ts
@@ -13,7 +13,7 @@
 } from './routes.js';
 
 /** Retries of one customer action over its whole call chain. A manifest of routes only limits the attempts of each call. */
-const routesManifestRetries = 3;
+const routesManifestRetries = 6;
 
 const versionSchema = valibot.optional(valibot.pipe(valibot.number(), valibot.safeInteger(), valibot.minValue(1)));
 const serviceSchema = valibot.object({healthPath: valibot.optional(valibot.string())});
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -132,6 +132,10 @@
 		return flatMapEffects(effects, effect => (this.#servingHandlers[effect.type] as (effect: ServingEffect, now: number) => NodeEffect[])(effect, now));
 	}
 
+	get #retryShare(): number {
+		return this.#dependencies.node.retries?.share ?? this.#dependencies.adoption.current?.manifest.retryShare ?? 0;
+	}
+
 	#createEntry(): EntryCoordinator {
 		const memberOf = (name: string): Member | undefined => this.#dependencies.membership.get(name);
 		return new EntryCoordinator({
@@ -139,7 +143,8 @@
 			locator: createLocator({router: this.#dependencies.router, directory: this.#dependencies.directory, memberOf}),
 			loads: this.#dependencies.router.loads,
 			revision: () => this.#dependencies.adoption.number,
-			retryBudgetRatio: () => this.#dependencies.node.retries?.share ?? this.#dependencies.adoption.current?.manifest.retryShare ?? 0,
+			retryBudgetRatio: () => this.#retryShare,
+			offerRatio: () => this.#dependencies.node.retries?.offerShare ?? this.#retryShare,
 			...(this.#dependencies.node.retries === undefined ? {} : {retryBurst: this.#dependencies.node.retries.burst}),
 			...(this.#dependencies.node.entryMechanisms === undefined ? {} : {mechanisms: this.#dependencies.node.entryMechanisms}),
 		});
--- a/packages/core/src/node/node-definition.ts
+++ b/packages/core/src/node/node-definition.ts
@@ -27,5 +27,5 @@
 	/** Largest share of the announced slots that is used; 1 by default. */
 	readonly slotShare?: number;
 	/** Retry budget of each service: its burst, and the retries earned per success when they differ from the manifest's `retryShare`. */
-	readonly retries?: {readonly burst: number; readonly share?: number | undefined};
+	readonly retries?: {readonly burst: number; readonly share?: number | undefined; /** Offers earned per success. */ readonly offerShare?: number | undefined};
 };
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -104,6 +104,8 @@
 	retries: valibot.optional(valibot.strictObject({
 		burst: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0)), 10),
 		share: valibot.optional(share),
+		/** Part of an offer to another upstream, after one refused a call without running it, that a success earns; by default as `share`. */
+		offerShare: valibot.optional(share),
 	}), {}),
 	membership: valibot.optional(valibot.strictObject({
 		probeMilliseconds: valibot.optional(positive, 1000),
