Split the reading of callers' requests and the definition of membership

The conversion of an HTTP request to a caller request is a module of its own, and the parameters of the protocol and the address of a member stand beside what they describe. The highest version of a member is defined once. No behaviour changes.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,6 +32,7 @@
 export * from './membership/member-schema.js';
 export * from './membership/member-table.js';
 export * from './membership/membership.js';
+export * from './membership/membership-definition.js';
 export * from './membership/messages.js';
 export * from './membership/rumors.js';
 export type * from './messages.js';
--- a/packages/core/src/membership/member-schema.ts
+++ b/packages/core/src/membership/member-schema.ts
@@ -6,12 +6,13 @@
 import {isIP} from 'node:net';
 import * as valibot from 'valibot';
 import {integerBetween} from '../manifest/request-policy.js';
-import {Liveness, UpstreamState, type Member} from './member.js';
+import {
+	Liveness, maximumMemberVersion, UpstreamState, type Member,
+} from './member.js';
 import {manifestTopic, rangesTopic} from './rumors.js';
 
 /** Largest time value of the runtime, in milliseconds since the Unix epoch. */
 const maximumTime = 8.64e15;
-const maximumVersion = 4_294_967_295;
 const maximumPort = 65_535;
 const maximumSlots = 100_000;
 const maximumLocationLength = 64;
@@ -32,7 +33,7 @@
 export const memberSchema = valibot.object({
 	name: memberNameSchema,
 	incarnation: incarnationSchema,
-	version: integerBetween(0, maximumVersion),
+	version: integerBetween(0, maximumMemberVersion),
 	location: valibot.object({region: locationName, failureDomain: locationName}),
 	host: memberHostSchema,
 	callersPort: port,
--- a/packages/core/src/membership/member.ts
+++ b/packages/core/src/membership/member.ts
@@ -25,6 +25,15 @@
 	readonly failureDomain: string;
 };
 
+/** Highest version that a valid member has. */
+export const maximumMemberVersion = 4_294_967_295;
+
+/** Destination of a datagram. */
+export type Address = {
+	readonly host: string;
+	readonly port: number;
+};
+
 /** One node and its upstream. */
 export type Member = {
 	readonly name: string;
@@ -51,3 +60,13 @@
 export function isServing(member: Member): boolean {
 	return member.state === UpstreamState.Ready && member.liveness !== Liveness.Dead;
 }
+
+/** Address of a member's gossip. */
+export function addressOf(member: Member): Address {
+	return {host: member.host, port: member.controlPort};
+}
+
+/** Whether two entries state the same address for gossip. */
+export function hasSameAddress(left: Member, right: Member): boolean {
+	return left.host === right.host && left.controlPort === right.controlPort;
+}
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -7,14 +7,15 @@
  * @module
  */
 import {
-	Liveness, UpstreamState, type Member,
+	addressOf, hasSameAddress, Liveness, maximumMemberVersion, UpstreamState, type Address, type Member,
 } from './member.js';
 import {isDeadOrLeft, MemberTable} from './member-table.js';
 import {
-	GossipType, MembershipEffectType, type Address, type GossipMessage, type MembershipEffect,
+	GossipType, MembershipEffectType, type GossipMessage, type MembershipEffect,
 } from './messages.js';
 import {isReachableTime} from '../clock-lead.js';
 import {DisseminationQueue} from './dissemination-queue.js';
+import type {MembershipDefinition} from './membership-definition.js';
 import {NameClaims} from './name-claims.js';
 import {Prober} from './prober.js';
 import {Rumors, type Rumor} from './rumors.js';
@@ -28,32 +29,6 @@
 const membersPerMessage = 7;
 const rumorsPerMessage = 8;
 
-/** Highest version that a valid member has. */
-const maximumMemberVersion = 4_294_967_295;
-
-/** Times of the membership protocol, from the settings. */
-export type MembershipTimes = {
-	readonly probeIntervalMilliseconds: number;
-	/** Time after which a suspected member that has not refuted the suspicion is marked as dead. */
-	readonly suspicionMilliseconds: number;
-	/** Mean interval between view exchanges. */
-	readonly exchangeIntervalMilliseconds: number;
-};
-
-export const defaultMembershipTimes: MembershipTimes = {
-	probeIntervalMilliseconds: 1000,
-	suspicionMilliseconds: 3000,
-	exchangeIntervalMilliseconds: 10_000,
-};
-
-export type MembershipDefinition = {
-	readonly own: Member;
-	readonly random: () => number;
-	readonly times: MembershipTimes;
-	/** Wall-clock time in milliseconds since the Unix epoch. Members whose incarnation it cannot have reached are ignored. */
-	readonly wallClock?: () => number;
-};
-
 /**
  * State of the membership protocol at one node.
  *
@@ -387,11 +362,3 @@
 		};
 	}
 }
-
-function addressOf(member: Member): Address {
-	return {host: member.host, port: member.controlPort};
-}
-
-function hasSameAddress(left: Member, right: Member): boolean {
-	return left.host === right.host && left.controlPort === right.controlPort;
-}
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type {Member} from './member.js';
+import type {Address, Member} from './member.js';
 import type {Rumor} from './rumors.js';
 
 export enum GossipType {
@@ -30,12 +30,6 @@
 	readonly rumors: readonly Rumor[];
 };
 
-/** Destination of a datagram. */
-export type Address = {
-	readonly host: string;
-	readonly port: number;
-};
-
 export enum MembershipEffectType {
 	Send = 'gossip-send',
 	/** Start a view exchange with the member: compare bucket digests, and merge the members that differ. */
--- a/packages/core/src/membership/prober.ts
+++ b/packages/core/src/membership/prober.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import type {Member} from './member.js';
-import type {Address} from './messages.js';
+import type {Address, Member} from './member.js';
 
 /** Share of the probe interval after which an unanswered probe is repeated through other members. */
 const directProbeShare = 0.3;
--- a/packages/core/src/node/effects.ts
+++ b/packages/core/src/node/effects.ts
@@ -5,8 +5,8 @@
  */
 import type {EventDetails, NodeEvent} from '../events/event.js';
 import type {HybridTime} from '../events/hybrid-clock.js';
-import type {Member} from '../membership/member.js';
-import type {Address, GossipMessage} from '../membership/messages.js';
+import type {Address, Member} from '../membership/member.js';
+import type {GossipMessage} from '../membership/messages.js';
 import type {
 	AnswerFrame, AnswerHead, CallerAnswer, CallFrame, RequestPayload,
 } from '../messages.js';
--- a/packages/core/src/node/node-definition.ts
+++ b/packages/core/src/node/node-definition.ts
@@ -6,7 +6,7 @@
 import type {AdmissionMechanisms} from '../admission/admission-controller.js';
 import type {EntryMechanisms} from '../entry/entry-definition.js';
 import type {Member} from '../membership/member.js';
-import type {MembershipTimes} from '../membership/membership.js';
+import type {MembershipTimes} from '../membership/membership-definition.js';
 import type {ClaimLimits} from '../at-most-once/claim-table.js';
 
 export type NodeDefinition = {
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -11,9 +11,10 @@
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
-	ErrorKind, LaburnumspoolError, NodeEffectType, Outcome, requestDigest, type AnswerHead, type CallerAnswer, type CallerLimits, type CallerRequest, type NodeEffect,
+	ErrorKind, LaburnumspoolError, NodeEffectType, Outcome, type AnswerHead, type CallerAnswer, type CallerLimits, type NodeEffect,
 } from '@laburnumspool/core';
 import type {AnswerStreams} from './answer-streams.js';
+import {createRequestReader, type RequestReader} from './caller-request.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
 	emptyBody, filterHeaders, hasBody, HeaderName, readBody, sendClientError, sendProblem, toCallError,
@@ -67,7 +68,7 @@
 	readonly #definition: CallersServerDefinition;
 	readonly #server: Server;
 	readonly #openRequests: OpenRequests;
-	readonly #droppedHeaders: ReadonlySet<string>;
+	readonly #readRequest: RequestReader;
 	#maximumBodyBytes: number;
 	#maximumHeaderBytes = defaultHeaderBytes;
 	#lastEntryId = 0;
@@ -78,7 +79,8 @@
 	constructor(definition: CallersServerDefinition) {
 		this.#definition = definition;
 		this.#maximumBodyBytes = definition.requestBytes;
-		this.#droppedHeaders = headersToDrop(definition.headers);
+		const {core, headers, service} = definition;
+		this.#readRequest = createRequestReader({headers, service, usesRoutes: () => core.core.usesRoutes});
 		this.#openRequests = new OpenRequests(entryId => {
 			definition.core.post({type: CoreMessageType.CallerDisconnected, entryId});
 		});
@@ -224,7 +226,7 @@
 		this.#requireCapacity();
 		this.#lastEntryId += 1;
 		const entryId = this.#lastEntryId;
-		const callerRequest = this.#toCallerRequest(entryId, request, url, body);
+		const callerRequest = this.#readRequest(entryId, request, url, body);
 		this.#openRequests.add(entryId, {
 			response, socket, startedAt: performance.now(), requestId: callerRequest.requestId ?? '',
 		});
@@ -304,32 +306,6 @@
 
 		return headerPairs;
 	}
-
-	#toCallerRequest(entryId: number, request: IncomingMessage, url: string, body: Buffer): CallerRequest {
-		const {core, headers, service} = this.#definition;
-		const method = request.method ?? 'GET';
-		const servicePath = core.core.usesRoutes ? undefined : splitServicePath(url);
-		const key = headerValue(request, HeaderName.Key);
-		const target = servicePath?.target ?? url;
-		const passedHeaders = filterHeaders(request.rawHeaders, this.#droppedHeaders);
-		return {
-			entryId,
-			host: request.headers.host ?? '',
-			requestId: headers.requestId === undefined ? '' : headerValue(request, headers.requestId) ?? '',
-			service: servicePath?.service ?? '',
-			request: {
-				method,
-				target,
-				headers: headers.callerService === undefined || service === undefined ? passedHeaders : [...passedHeaders, headers.callerService, service],
-				body,
-				digest: key === undefined ? '' : requestDigest({method, target, body}),
-			},
-			key,
-			timeoutMilliseconds: parseTimeout(headers.timeLeft, headerValue(request, headers.timeLeft)),
-			traceparent: headerValue(request, HeaderName.TraceParent),
-			tracestate: headerValue(request, HeaderName.TraceState),
-		};
-	}
 }
 
 /** Waits until the event loop has polled all connections at least once. */
@@ -359,31 +335,3 @@
 	response.once('finish', () => request.destroy());
 	sendProblem(response, toCallError(error));
 }
-
-/** Headers that the node sets itself on the way to the upstream. The request id is passed on outside the headers. */
-function headersToDrop({timeLeft, requestId, expectedInstance, callerService}: HeaderNames): ReadonlySet<string> {
-	const optionalNames = [requestId, expectedInstance, callerService].filter(name => name !== undefined);
-	return new Set([timeLeft, HeaderName.TraceParent, HeaderName.TraceState, ...optionalNames]);
-}
-
-function splitServicePath(url: string): {service: string; target: string} | undefined {
-	const position = url.indexOf('/', 1);
-	return !url.startsWith('/') || position === -1 ? undefined : {service: url.slice(1, position), target: url.slice(position)};
-}
-
-function headerValue(request: IncomingMessage, name: string): string | undefined {
-	const value = request.headers[name];
-	return Array.isArray(value) ? value.join(',') : value;
-}
-
-function parseTimeout(name: string, text: string | undefined): number | undefined {
-	if (text === undefined) {
-		return undefined;
-	}
-
-	if (!/^\d{1,9}$/u.test(text)) {
-		throw new LaburnumspoolError(ErrorKind.Malformed, `${name}: expected a whole number of milliseconds with at most 9 digits`);
-	}
-
-	return Number(text);
-}
