Let a living node learn of every false entry about itself

A node refutes any entry of its name that differs from its own. The answer to a ping carries the entry that stands in the sender's way, and nodes of a view that contradict the table are contacted with it. An entry in the store is written again after the incarnation rose.

--- a/benchmarks/src/virtual-system.ts
+++ b/benchmarks/src/virtual-system.ts
@@ -206,6 +206,9 @@
 			[NodeEffectType.SendGossip]: gossip => {
 				this.#deliver(node, gossip.to.host, gossip, receiver => receiver.core.gossipArrived(gossip.message, gossip.clock, this.#now));
 			},
+			[NodeEffectType.ExchangeMembers]: exchange => {
+				this.#exchangeMembers(node, exchange);
+			},
 			[NodeEffectType.SendAtMostOnce]: effect => {
 				this.#deliver(node, effect.to.name, effect, receiver => receiver.core.atMostOnceMessageArrived(effect.from, effect.message, this.#now));
 			},
@@ -234,6 +237,17 @@
 		(handlers[effect.type] as ((effect: NodeEffect) => void) | undefined)?.(effect);
 	}
 
+	#exchangeMembers(node: VirtualNode, exchange: Extract<NodeEffect, {type: NodeEffectType.ExchangeMembers}>): void {
+		const {own, rumors} = node.core.membership;
+		const buckets = node.core.membership.bucketDigests();
+		this.#deliver(node, exchange.to.host, exchange, receiver => {
+			const {membership} = receiver.core;
+			const reply = {members: membership.differingMembers(buckets), rumors: membership.rumors};
+			this.#deliver(receiver, node.name, exchange, sender => sender.core.viewArrived(reply.members, reply.rumors, this.#now));
+			return receiver.core.viewArrived([own], rumors, this.#now);
+		});
+	}
+
 	#sendCall(node: VirtualNode, call: Extract<NodeEffect, {type: NodeEffectType.SendCall}>): void {
 		const target = this.nodes.find(candidate => candidate.name === call.to.host);
 		if (target === undefined || target.isDown) {
--- a/packages/core/src/membership/member.ts
+++ b/packages/core/src/membership/member.ts
@@ -70,3 +70,9 @@
 export function hasSameAddress(left: Member, right: Member): boolean {
 	return left.host === right.host && left.controlPort === right.controlPort;
 }
+
+/** Whether two entries of a member state the same. */
+export function isSameEntry(left: Member, right: Member): boolean {
+	const isSameVersion = left.incarnation === right.incarnation && left.version === right.version && left.liveness === right.liveness;
+	return isSameVersion && left.service === right.service && left.state === right.state && hasSameAddress(left, right);
+}
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -7,9 +7,9 @@
  * @module
  */
 import {
-	addressOf, hasSameAddress, Liveness, maximumMemberVersion, UpstreamState, type Address, type Member,
+	addressOf, hasSameAddress, isSameEntry, Liveness, maximumMemberVersion, UpstreamState, type Address, type Member,
 } from './member.js';
-import {isDeadOrLeft, MemberTable} from './member-table.js';
+import {isDeadOrLeft, MemberTable, supersedes} from './member-table.js';
 import {
 	GossipType, MembershipEffectType, type GossipMessage, type MembershipEffect,
 } from './messages.js';
@@ -28,6 +28,7 @@
 const deadMemberPingProbability = 0.2;
 const membersPerMessage = 7;
 const rumorsPerMessage = 8;
+const contactsPerView = 3;
 
 /**
  * State of the membership protocol at one node.
@@ -122,7 +123,7 @@
 			...message.rumors.flatMap(rumor => this.broadcast(rumor)),
 		];
 		const handlers: Readonly<Record<GossipType, () => MembershipEffect[]>> = {
-			[GossipType.Ping]: () => [this.#send(addressOf(message.sender), GossipType.Acknowledgement, message.sequence)],
+			[GossipType.Ping]: () => [this.#send(addressOf(message.sender), GossipType.Acknowledgement, message.sequence, '', this.#knownInstead(message.sender))],
 			[GossipType.Acknowledgement]: () => this.#acknowledgementReceived(message),
 			[GossipType.PingRequest]: () => this.#pingOnBehalf(message),
 			[GossipType.Update]: () => [],
@@ -135,7 +136,7 @@
 		this.#isDisseminating = members.length <= membersPerMessage;
 		const effects = this.mergeMembers(members, now);
 		this.#isDisseminating = true;
-		return effects;
+		return [...effects, ...this.#contactContradicted(members)];
 	}
 
 	/** Merges updates about members, and gossips those that change the view. */
@@ -191,7 +192,7 @@
 			return hasSameAddress(member, this.#own) ? this.#raiseIncarnation(member, now) : this.#verifyClaim(member, now);
 		}
 
-		const needsRefutation = member.incarnation === this.#own.incarnation && member.version >= this.#own.version && member.liveness !== Liveness.Alive;
+		const needsRefutation = member.incarnation === this.#own.incarnation && member.version >= this.#own.version && !isSameEntry(member, this.#own);
 		if (!needsRefutation) {
 			return [];
 		}
@@ -199,6 +200,21 @@
 		return member.version < maximumMemberVersion ? this.#setOwn({...this.#own, version: member.version + 1}, now) : this.#raiseIncarnation(member, now);
 	}
 
+	/** Pings the nodes of entries that the table contradicts, so that a living one learns of the false entry and refutes it. */
+	#contactContradicted(members: readonly Member[]): MembershipEffect[] {
+		const contradicted = members.flatMap(member => {
+			const [known] = member.name === this.#own.name || isDeadOrLeft(member) ? [] : this.#knownInstead(member);
+			return known !== undefined && (isDeadOrLeft(known) || !hasSameAddress(known, member)) ? [{member, known}] : [];
+		});
+		return contradicted.slice(0, contactsPerView).map(({member, known}) => this.#send(addressOf(member), GossipType.Ping, 0, '', [known]));
+	}
+
+	/** The entry that stands in the way of the sender's own one. The sender refutes it when it is false. */
+	#knownInstead(sender: Member): Member[] {
+		const known = this.#table.get(sender.name);
+		return known !== undefined && !isSameEntry(known, sender) && !supersedes(sender, known) ? [known] : [];
+	}
+
 	/** No other node can have the own address, so a higher incarnation is from an earlier start, before the clock was set back. */
 	#raiseIncarnation(member: Member, now: number): MembershipEffect[] {
 		return this.#setOwn({...this.#own, incarnation: member.incarnation + 1, version: 1}, now);
--- a/packages/core/src/tests/name-claims.test.ts
+++ b/packages/core/src/tests/name-claims.test.ts
@@ -87,3 +87,40 @@
 
 	t.equal(membership.get('b')?.liveness, Liveness.Suspect);
 });
+
+test('an entry of the own incarnation with a later version, or with other values, is refuted', async t => {
+	const claims: ReadonlyArray<Partial<Member>> = [{version: 4, host: '10.9.9.9'}, {version: 4}, {host: '10.9.9.9'}, {service: 'other'}];
+	claims.map(claim => {
+		const membership = start();
+		const member = {...own, ...claim};
+		membership.mergeMembers([member], 10);
+		t.match(membership.own, {
+			incarnation: wallClock, version: member.version + 1, host: '10.0.0.1', service: 's',
+		}, JSON.stringify(claim));
+		return claim;
+	});
+	const membership = start();
+	membership.mergeMembers([own], 10);
+	t.equal(membership.own.version, own.version, 'the own entry itself is none');
+});
+
+test('a node that is known under a false entry learns of it from the answer to its ping', async t => {
+	const membership = start();
+	const falseEntry = {
+		...other, incarnation: wallClock + 5, host: '10.9.9.9', liveness: Liveness.Dead,
+	};
+	membership.mergeMembers([falseEntry], 10);
+	const replies = membership.receive({...message(other), type: GossipType.Ping, sequence: 3}, 20);
+	const members = replies.flatMap(effect => effect.type === MembershipEffectType.Send && effect.to.host === other.host ? effect.message.members : []);
+	t.ok(members.some(member => member.name === 'b' && member.host === '10.9.9.9'));
+});
+
+test('a node that is listed in a view, and known as dead under a false entry, is contacted with that entry', async t => {
+	const membership = start();
+	membership.mergeMembers([{
+		...other, incarnation: wallClock + 5, host: own.host, liveness: Liveness.Dead,
+	}], 10);
+	const contacts = membership.mergeView([other], 20).flatMap(effect => effect.type === MembershipEffectType.Send ? [effect] : []);
+	t.match(contacts, [{to: {host: other.host}, message: {type: GossipType.Ping, members: [{name: 'b', host: own.host}]}}]);
+	t.same(start().mergeView([other], 20), [], 'not when the view and the table agree');
+});
--- a/packages/node/src/store-task.ts
+++ b/packages/node/src/store-task.ts
@@ -61,7 +61,8 @@
 	readonly #stopController = new AbortController();
 	readonly #problems: ProblemLog;
 	#lease: string | undefined;
-	#hasHolderKey = false;
+	/** Key of the own entry under the present lease; undefined before it is written. */
+	#writtenKey: string | undefined;
 	#startedAt = 0;
 	#memberReads = 0;
 	#consecutiveFailures = 0;
@@ -133,10 +134,11 @@
 			}
 
 			this.#lease = await store.grantLease(leaseMilliseconds);
-			this.#hasHolderKey = false;
+			this.#writtenKey = undefined;
 		}
 
-		if (!this.#hasHolderKey) {
+		// A node that refuted a false entry has a higher incarnation than its written entry.
+		if (this.#writtenKey !== ownKey(core.core.own)) {
 			await this.#writeHolderKey(this.#lease!);
 		}
 
@@ -145,14 +147,14 @@
 
 	async #writeHolderKey(lease: string): Promise<void> {
 		const {own} = this.#definition.core.core;
-		const key = `${holdersPrefix}${holderKey(own)}`;
+		const key = ownKey(own);
 		const value = formatMember(own);
 		const result = await this.#definition.store.compareAndSwap(key, 0, value, lease);
 		if (result.type === SwapResultType.Conflict) {
 			await this.#definition.store.compareAndSwap(key, result.current?.version ?? 0, value, lease);
 		}
 
-		this.#hasHolderKey = true;
+		this.#writtenKey = key;
 	}
 
 	/** Reads the entries of all nodes, by which nodes discover each other. Later changes spread by gossip. */
@@ -285,6 +287,10 @@
 	}
 }
 
+function ownKey(own: Member): string {
+	return `${holdersPrefix}${holderKey(own)}`;
+}
+
 function recordKey(service: string): string {
 	return `ranges/${service}`;
 }
