--- a/packages/node/src/tests/store-task.test.ts
+++ b/packages/node/src/tests/store-task.test.ts
@@ -2,7 +2,7 @@
 	checkMemberText, formatMember, holderKey, Liveness, UpstreamState, type Member,
 } from '@laburnumspool/core';
 import {SwapResultType, type KeyedEntry, type Store} from '@laburnumspool/manifest';
-import {test, type Test} from 'tap';
+import {test} from 'tap';
 import {CoreMessageType, CoreTask} from '../core-task.js';
 import {defaultDeployment} from '../index.js';
 import {StoreTask} from '../store-task.js';
@@ -85,15 +85,14 @@
 	return {core, task};
 }
 
-async function settle(t: Test, milliseconds: number): Promise<void> {
+/** Lets the periodic steps of the tasks run. */
+async function settle(milliseconds: number): Promise<void> {
 	const until = performance.now() + milliseconds;
 	while (performance.now() < until) {
 		await new Promise(resolve => {
 			setTimeout(resolve, stepMilliseconds);
 		});
 	}
-
-	t.pass('the periodic steps have run');
 }
 
 test('of many nodes that start together, only a few of each region read the manifest from the store', async t => {
@@ -102,7 +101,7 @@
 	members.map(member => store.entries.set(`holders/${holderKey(member)}`, {key: `holders/${holderKey(member)}`, version: 1, value: formatMember(member)}));
 	store.entries.set('manifest', {key: 'manifest', version: 1, value: createLookManifest(1000)});
 	const started = members.map(member => startTask(store, member, () => performance.now()));
-	await settle(t, 700);
+	await settle(700);
 	const withManifest = started.filter(({core}) => core.core.manifest !== undefined).length;
 	t.equal(withManifest, 6, 'two of each of three regions');
 	t.equal(store.calls.get('write'), nodeCount);
@@ -116,10 +115,10 @@
 	store.entries.set('manifest', {key: 'manifest', version: 1, value: createLookManifest(1000)});
 	let ahead = 0;
 	const started = others.map(member => startTask(store, member, () => performance.now() + ahead));
-	await settle(t, 400);
+	await settle(400);
 	t.ok(started.some(({core}) => core.core.manifest === undefined));
 	ahead = 2000;
-	await settle(t, 700);
+	await settle(700);
 	t.ok(started.every(({core}) => core.core.manifest !== undefined));
 	await Promise.all(started.map(async ({task}) => task.stop()));
 });
@@ -129,7 +128,7 @@
 	store.entries.set('manifest', {key: 'manifest', version: 1, value: createLookManifest(1000)});
 	const {core, task} = startTask(store, createMember(0), () => performance.now());
 	while (core.core.manifest === undefined) {
-		await settle(t, stepMilliseconds);
+		await settle(stepMilliseconds);
 	}
 
 	t.ok((store.calls.get('list') ?? 0) >= 2);
@@ -140,11 +139,11 @@
 	const store = new StoreStub();
 	const own = createMember(0);
 	const {core, task} = startTask(store, own, () => performance.now(), 600);
-	await settle(t, 100);
+	await settle(100);
 	core.post({type: CoreMessageType.ViewArrived, members: [{...own, incarnation: 5, version: 9}], rumors: []});
 	t.equal(core.core.own.incarnation, 6);
 	while (!store.entries.has('holders/node-0.6')) {
-		await settle(t, stepMilliseconds);
+		await settle(stepMilliseconds);
 	}
 
 	t.match(checkMemberText(store.entries.get('holders/node-0.6')!.value), {success: true, value: {name: 'node-0', incarnation: 6}});
