--- a/packages/core/src/action/offer-budget.ts
+++ b/packages/core/src/action/offer-budget.ts
@@ -3,8 +3,8 @@
  *
  * It answers a load under which a service deep in the call chain refuses a large share of all calls, so that most customer
  * actions, which need several of them, would fail although half of the calls succeed. The offers that the budget allows go
- * to the actions with the highest priority. A priority is the same at all nodes, so the offers of one action are allowed at
- * each of its calls, and its work is not wasted.
+ * to the actions with the highest priority. A priority is the same at all nodes and their levels are similar, so an action
+ * whose first calls are offered again is likely to get the offers that its later calls need.
  *
  * @module
  */
