Log the requests that a stop cuts off

Cause: the last line of a stop states that calls were in flight, and neither which requests are cut off nor when they were received.

Change: one warning for each request that is cut off, with its request id, the time of its receipt since the start of the stop, its age, and whether it is the first on its connection; at most twenty a second, like all lines of one kind.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -121,6 +121,11 @@
 		return this.#openRequests.size;
 	}
 
+	/** Requests without an answer. */
+	get openRequests(): readonly OpenRequest[] {
+		return this.#openRequests.values;
+	}
+
 	/** Applies the limits of a manifest. A limit that it does not set keeps its current value. */
 	setLimits({headerBytes, headerMilliseconds, bodyBytes, idleMilliseconds}: CallerLimits): void {
 		this.#maximumHeaderBytes = headerBytes ?? this.#maximumHeaderBytes;
@@ -228,7 +233,7 @@
 		const entryId = this.#lastEntryId;
 		const callerRequest = this.#readRequest(entryId, request, url, body);
 		this.#openRequests.add(entryId, {
-			response, socket, startedAt: performance.now(), requestId: callerRequest.requestId ?? '',
+			response, socket, startedAt: performance.now(), requestId: callerRequest.requestId ?? '', isFirst: this.#openRequests.isUnused(socket),
 		});
 		if (!this.#definition.core.post({type: CoreMessageType.CallerRequested, request: callerRequest})) {
 			this.#openRequests.remove(entryId);
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -202,8 +202,20 @@
 		await Promise.all([upstream.close(), peersClient.close(), store.stop()]);
 	};
 
+	const logCutRequests = (stopStartedAt: number): void => {
+		const now = clock();
+		callersServer.openRequests.map(({requestId, startedAt, isFirst}) => {
+			const received = Math.round(startedAt - stopStartedAt);
+			openLogger(LogPart.Node).warn(`a request is cut off by the stop: received ${received} ms after its start, ${Math.round(now - startedAt)} ms ago`, {
+				event: 'request-cut', request: requestId, received, isFirst,
+			});
+			return requestId;
+		});
+	};
+
 	const stop = async (): Promise<boolean> => {
-		const stopDeadline = clock() + (settings.stopSeconds * 1000);
+		const startedAt = clock();
+		const stopDeadline = startedAt + (settings.stopSeconds * 1000);
 		const progressTimer = setInterval(() => {
 			const {openCalls, atMostOnce, admission} = core.core;
 			const ranges = atMostOnce.hasHandedOver ? 'are handed over' : 'are being handed over';
@@ -222,6 +234,7 @@
 		const isFinished = core.core.isDrained && callersServer.openRequestCount === 0;
 		core.post({type: CoreMessageType.AnnounceLeft});
 		await delay(leaveGossipMilliseconds);
+		logCutRequests(startedAt);
 		await Promise.race([close(), delay(closeTimeoutMilliseconds)]);
 		return isFinished;
 	};
--- a/packages/node/src/open-requests.ts
+++ b/packages/node/src/open-requests.ts
@@ -14,6 +14,8 @@
 	readonly startedAt: number;
 	/** Request id that the caller sent; empty when it sent none. */
 	readonly requestId: string;
+	/** Whether it is the first request on its connection. */
+	readonly isFirst: boolean;
 	/** The streamed answer that has begun; undefined before. */
 	streamedAnswer?: StreamedAnswer;
 };
@@ -34,7 +36,7 @@
  *
  * @example
  * const open = new OpenRequests(entryId => cancel(entryId));
- * open.add(7, {response, socket, startedAt, requestId});
+ * open.add(7, {response, socket, startedAt, requestId, isFirst: true});
  * open.remove(7)?.response.end();
  */
 export class OpenRequests {
@@ -50,6 +52,10 @@
 		return this.#requests.size;
 	}
 
+	get values(): readonly OpenRequest[] {
+		return [...this.#requests.values()];
+	}
+
 	add(entryId: number, request: OpenRequest): void {
 		const connection = this.#connectionOf(request.socket);
 		this.#requests.set(entryId, request);
@@ -86,6 +92,11 @@
 		return true;
 	}
 
+	/** Whether no request was opened on a connection so far. */
+	isUnused(socket: Socket): boolean {
+		return !this.#connections.has(socket);
+	}
+
 	/** Whether the connection closes with an answer that is already sent or queued. */
 	isClosing(socket: Socket): boolean {
 		return this.#connections.get(socket)?.isClosing ?? false;
