Show late requests that a stopping node passes on

Callers saw a closed connection in place of an answer to requests that were sent four seconds after SIGTERM and that an upstream was running.

An open connection, unused so far or with an unanswered request, brings one more request after the node has stopped listening. All three cases reach the upstream, also in a node that has nothing in flight and announces that it has left.

--- /dev/null
+++ b/packages/node/src/tests/late-requests.test.ts
@@ -0,0 +1,120 @@
+import {once} from 'node:events';
+import {createServer, type ServerResponse} from 'node:http';
+import {createConnection, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
+import {AnnouncedState} from '@laburnumspool/core';
+import {findFreePorts} from '@laburnumspool/standin-loopback';
+import {test, type Test} from 'tap';
+import {CoreMessageType} from '../core-task.js';
+import {
+	checkSettings, defaultDeployment, startDaemon, type Daemon,
+} from '../index.js';
+import {createLookManifest, doNothing, silentLog} from './fixtures.js';
+
+const stopSeconds = 2;
+const lingerMilliseconds = 200;
+const waitMilliseconds = 20_000;
+
+/** A caller's connection and all that it has received. */
+type Caller = {readonly socket: Socket; readonly closed: Promise<unknown>; readonly text: () => string};
+
+type StartedNodes = {
+	/** The node that is stopped. */
+	readonly entry: Daemon;
+	/** Paths of the requests that an upstream has received. */
+	readonly received: string[];
+	readonly receipts: EventTarget;
+	readonly responses: Map<string, ServerResponse>;
+	readonly connect: () => Promise<Caller>;
+};
+
+const requestText = (name: string): string => `GET /shop/items/${name} HTTP/1.1\r\nhost: h\r\n\r\n`;
+
+async function startNode(t: Test, name: string): Promise<{daemon: Daemon; callersPort: number}> {
+	const [callers, peers, control, store] = await findFreePorts(4);
+	const daemon = await startDaemon(checkSettings({
+		name, region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers, peers, control}, store: {url: `http://127.0.0.1:${store}`}, stopSeconds, lingerMilliseconds, admission: {adaptiveLimit: false},
+	}), () => silentLog);
+	daemon.core.post({type: CoreMessageType.ManifestArrived, revision: defaultDeployment.toRevision(1, createLookManifest(waitMilliseconds))});
+	return {daemon, callersPort: callers!};
+}
+
+/** Starts an entry node, and another node beside an upstream that answers when the test says so. */
+async function startNodes(t: Test): Promise<StartedNodes> {
+	const received: string[] = [];
+	const receipts = new EventTarget();
+	const responses = new Map<string, ServerResponse>();
+	const upstream = createServer((request, response) => {
+		const name = request.url!.split('/').at(-1)!;
+		received.push(name);
+		responses.set(name, response.on('error', doNothing));
+		receipts.dispatchEvent(new Event(name));
+	}).listen(0, '127.0.0.1');
+	await once(upstream, 'listening');
+	const serving = await startNode(t, 'serving');
+	const entry = await startNode(t, 'entry');
+	t.teardown(async () => {
+		upstream.closeAllConnections();
+		upstream.close();
+		await serving.daemon.stop();
+	});
+	serving.daemon.core.post({
+		type: CoreMessageType.UpstreamAnnounced, announcement: {
+			service: 'shop', address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`, slots: 8, connections: 8, state: AnnouncedState.Ready, load: undefined,
+		},
+	});
+	entry.daemon.core.post({type: CoreMessageType.ViewArrived, members: [serving.daemon.core.core.own], rumors: []});
+	return {
+		entry: entry.daemon,
+		received,
+		receipts,
+		responses,
+		async connect() {
+			const socket = createConnection(entry.callersPort, '127.0.0.1');
+			socket.on('error', doNothing);
+			const chunks: string[] = [];
+			socket.on('data', chunk => chunks.push(String(chunk)));
+			await once(socket, 'connect');
+			return {socket, closed: once(socket, 'close'), text: () => chunks.join('')};
+		},
+	};
+}
+
+/** Within the announcement that the node has left, if nothing is in flight. */
+const lateMilliseconds = lingerMilliseconds + 400;
+
+test('a stopping node does not pass on a request that arrives behind an open one late in the stop', async t => {
+	const {entry, received, receipts, connect} = await startNodes(t);
+	const caller = await connect();
+	const firstReceived = once(receipts, 'first');
+	caller.socket.write(requestText('first'));
+	await firstReceived;
+	const stopped = entry.stop();
+	await wait(lateMilliseconds);
+	caller.socket.write(requestText('second'));
+	await stopped;
+	t.same(received, ['first'], 'the upstream receives only the request that was open before the stop');
+});
+
+test('a stopping node does not pass on the first request of an old connection late in the stop', async t => {
+	const {entry, received, receipts, connect} = await startNodes(t);
+	const [busyCaller, quietCaller] = [await connect(), await connect()];
+	const firstReceived = once(receipts, 'first');
+	busyCaller.socket.write(requestText('first'));
+	await firstReceived;
+	const stopped = entry.stop();
+	await wait(lateMilliseconds);
+	quietCaller.socket.write(requestText('second'));
+	await stopped;
+	t.same(received, ['first'], 'the upstream receives only the request that was open before the stop');
+});
+
+test('a node that has nothing left in flight does not pass on a request while it announces that it has left', async t => {
+	const {entry, received, connect} = await startNodes(t);
+	const caller = await connect();
+	const stopped = entry.stop();
+	await wait(lateMilliseconds);
+	caller.socket.write(requestText('late'));
+	await stopped;
+	t.same(received, [], 'the upstream receives no request');
+});
