Refuse new requests after the linger time of a stop

Callers saw a closed connection in place of an answer: requests sent four seconds after SIGTERM were passed on to an upstream and cut off when the node closed its connections.

Cause: the end of intake was the end of listening. Connections that were open by then brought requests until the process closed them, also in the 0.6 s in which it announces that it has left, when nothing in flight is awaited any more. The class of fault is an end of intake that is tied to the listener, and not to the requests.

Change: after the linger time the core refuses every new request as not run, except calls that the upstream makes for its running work; these failed before when they needed a new connection. The node listens until its end, so that late callers are refused instead of cut off. The stop has a module of its own.

--- a/benchmarks/src/tests/promises.test.ts
+++ b/benchmarks/src/tests/promises.test.ts
@@ -247,6 +247,22 @@
 	t.equal(system.node('deep-0').core.membership.get('shop-1')?.state, UpstreamState.Draining);
 });
 
+test('a stopping node refuses new requests, and opens the nested calls that its running work needs', async t => {
+	const system = startSystem(17);
+	const stopping = system.node('shop-1');
+	stopping.slowdownFactor = 20;
+	const running = send(system, 'shop-1', '/read/1');
+	system.runUntil(system.now + 10);
+	system.startDraining(stopping);
+	stopping.core.refuseNewRequests();
+	const refused = [send(system, 'shop-1', '/browse/late'), send(system, 'shop-1', '/pay', {key: 'late'})];
+	system.runUntil(system.now + 1000);
+	t.match(running, [{outcome: Outcome.Ran}]);
+	t.equal(system.upstreamCalls.find(({target}) => target === '/read/1')?.node, 'shop-1');
+	t.match(refused, [[{outcome: Outcome.NotRun, error: {kind: ErrorKind.Draining}}], [{outcome: Outcome.Unknown, error: {kind: ErrorKind.Draining}}]]);
+	t.same(system.upstreamCalls.map(({target}) => target).toSorted(), ['/fetch', '/read/1']);
+});
+
 test('a caller that disconnects cancels its call and the nested calls', async t => {
 	const system = startSystem(16);
 	system.nodes.filter(node => node.service.service === 'deep').map(node => {
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -15,7 +15,7 @@
 import type {GossipMessage} from '../membership/messages.js';
 import {manifestTopic, rangesTopic} from '../membership/rumors.js';
 import type {
-	AnswerFrame, AnswerHead, AnswerPayload, CallFrame,
+	AnswerFrame, AnswerHead, AnswerPayload, CallError, CallFrame,
 } from '../messages.js';
 import type {AtMostOnceMessage} from '../at-most-once/messages.js';
 import type {WriteResult} from '../at-most-once/at-most-once-definition.js';
@@ -65,6 +65,7 @@
 	readonly #membershipEffects: MembershipEffects;
 	readonly #lifecycle: UpstreamLifecycle;
 	readonly #versions: VersionUpdates;
+	#refusesNewRequests = false;
 	#nextMaintenanceAt = 0;
 	#reportedLimit = 0;
 
@@ -164,9 +165,7 @@
 	callerRequested(caller: CallerRequest, now: number): NodeEffect[] {
 		const {current} = this.#manifest;
 		if (current === undefined) {
-			// An earlier request with the key may have run at another node. Only the primary of the key can exclude that.
-			const outcome = caller.key === undefined ? Outcome.NotRun : Outcome.Unknown;
-			return [this.#answerCaller(caller.entryId, outcome, {kind: ErrorKind.NotReady, detail: 'The node has no manifest yet'})];
+			return [this.#refuseCaller(caller, {kind: ErrorKind.NotReady, detail: 'The node has no manifest yet'})];
 		}
 
 		return this.#manifest.hold(caller, now) ? [] : this.#openCall(caller, current, now);
@@ -296,6 +295,14 @@
 		return this.#lifecycle.startDraining(now);
 	}
 
+	/**
+	 * Refuses callers' requests from now on, since the time left of a planned stop belongs to the calls in flight. Calls that
+	 * the upstream makes for a running call of this node are still opened, because the running call needs them to finish.
+	 */
+	refuseNewRequests(): void {
+		this.#refusesNewRequests = true;
+	}
+
 	/** Announces to the other nodes that this one has left. Call it last, before the process stops. */
 	announceLeft(now: number): NodeEffect[] {
 		return this.#handleMembershipEffects(this.#membership.updateOwn({state: UpstreamState.Left}, now), now);
@@ -339,6 +346,10 @@
 			return [this.#answerCaller(caller.entryId, Outcome.NotRun, result.error)];
 		}
 
+		if (this.#refusesNewRequests && result.parentCallId === undefined) {
+			return [this.#refuseCaller(caller, {kind: ErrorKind.Draining, detail: 'The node is stopping and takes no new requests'})];
+		}
+
 		return this.#flow.open(result.entryRequest, result.parentCallId, now);
 	}
 
@@ -394,7 +405,12 @@
 		})];
 	}
 
-	#answerCaller(entryId: number, outcome: Outcome, error: {readonly kind: ErrorKind; readonly detail: string}): NodeEffect {
+	/** An earlier request with the key may have run at another node. Only the primary of the key can exclude that. */
+	#refuseCaller({entryId, key}: CallerRequest, error: CallError): NodeEffect {
+		return this.#answerCaller(entryId, key === undefined ? Outcome.NotRun : Outcome.Unknown, error);
+	}
+
+	#answerCaller(entryId: number, outcome: Outcome, error: CallError): NodeEffect {
 		return {
 			type: NodeEffectType.AnswerCaller, entryId, answer: {
 				outcome, attempts: 0, answer: undefined, error,
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -116,11 +116,6 @@
 		});
 	}
 
-	/** Number of requests without an answer. */
-	get openRequestCount(): number {
-		return this.#openRequests.size;
-	}
-
 	/** Requests without an answer. */
 	get openRequests(): readonly OpenRequest[] {
 		return this.#openRequests.values;
--- a/packages/node/src/core-task.ts
+++ b/packages/node/src/core-task.ts
@@ -40,6 +40,7 @@
 	LeaseLapsed = 'lease-lapsed',
 	SeedsRead = 'seeds-read',
 	StartDraining = 'leave',
+	RefuseNewRequests = 'refuse-new-requests',
 	AnnounceLeft = 'left',
 	Tick = 'tick',
 }
@@ -70,6 +71,7 @@
 	[CoreMessageType.LeaseLapsed]: object;
 	[CoreMessageType.SeedsRead]: {readonly seeds: ReadonlyArray<{readonly host: string; readonly port: number}>};
 	[CoreMessageType.StartDraining]: object;
+	[CoreMessageType.RefuseNewRequests]: object;
 	[CoreMessageType.AnnounceLeft]: object;
 	[CoreMessageType.Tick]: object;
 };
@@ -121,6 +123,10 @@
 		return [];
 	},
 	[CoreMessageType.StartDraining]: (core, _message, now) => core.startDraining(now),
+	[CoreMessageType.RefuseNewRequests](core) {
+		core.refuseNewRequests();
+		return [];
+	},
 	[CoreMessageType.AnnounceLeft]: (core, _message, now) => core.announceLeft(now),
 	[CoreMessageType.Tick]: (core, _message, now) => core.advance(now),
 };
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -24,6 +24,7 @@
 import {NodeInterface} from './node-interface.js';
 import {PeersClient} from './peers-client.js';
 import {PeersServer} from './peers-server.js';
+import {stopAsPlanned} from './planned-stop.js';
 import type {Settings} from './settings.js';
 import {StoreTask} from './store-task.js';
 import {UpstreamClient} from './upstream-client.js';
@@ -35,15 +36,7 @@
 const idleTickMilliseconds = 100;
 const gaugeIntervalMilliseconds = 1000;
 const linkCheckIntervalMilliseconds = 200;
-const stopPollMilliseconds = 20;
-/** Share of the remaining stop time in which new connections are still accepted; the rest is left for their answers. */
-const acceptingShare = 0.5;
-/** Time between the announcement that the node has left and the close of its sockets, so that gossip can spread it. */
-const leaveGossipMilliseconds = 600;
-/** Longest wait for the store to revoke the lease. An unrevoked lease lapses by itself; the platform kills a slow process. */
-const closeTimeoutMilliseconds = 400;
 const readyPollMilliseconds = 20;
-const progressLogMilliseconds = 2000;
 
 /** The parts that a deployment can replace: the store, and the format of the manifests in it. */
 export type Deployment = {
@@ -202,42 +195,16 @@
 		await Promise.all([upstream.close(), peersClient.close(), store.stop()]);
 	};
 
-	const logCutRequests = (stopStartedAt: number): void => {
-		const now = clock();
-		callersServer.openRequests.map(({requestId, startedAt, isFirst}) => {
-			const received = Math.round(startedAt - stopStartedAt);
-			openLogger(LogPart.Node).warn(`a request is cut off by the stop: received ${received} ms after its start, ${Math.round(now - startedAt)} ms ago`, {
-				event: 'request-cut', request: requestId, received, isFirst,
-			});
-			return requestId;
-		});
-	};
-
-	const stop = async (): Promise<boolean> => {
-		const startedAt = clock();
-		const stopDeadline = startedAt + (settings.stopSeconds * 1000);
-		const progressTimer = setInterval(() => {
-			const {openCalls, atMostOnce, admission} = core.core;
-			const ranges = atMostOnce.hasHandedOver ? 'are handed over' : 'are being handed over';
-			openLogger(LogPart.Node).info(`draining: ${openCalls} open calls, ${callersServer.openRequestCount} open requests, ${admission.inFlight} calls in the upstream; key ranges ${ranges}`);
-		}, progressLogMilliseconds);
-		core.post({type: CoreMessageType.StartDraining});
-		nodeInterface.setStopping();
-		callersServer.closeAfterAnswers();
-		await delay(settings.lingerMilliseconds);
-		await callersServer.stopListening(clock() + ((stopDeadline - clock()) * acceptingShare));
-		while (!(core.core.isDrained && callersServer.openRequestCount === 0) && clock() < stopDeadline) {
-			await delay(stopPollMilliseconds); // eslint-disable-line no-await-in-loop
-		}
-
-		clearInterval(progressTimer);
-		const isFinished = core.core.isDrained && callersServer.openRequestCount === 0;
-		core.post({type: CoreMessageType.AnnounceLeft});
-		await delay(leaveGossipMilliseconds);
-		logCutRequests(startedAt);
-		await Promise.race([close(), delay(closeTimeoutMilliseconds)]);
-		return isFinished;
-	};
+	const stop = async (): Promise<boolean> => stopAsPlanned({
+		core,
+		callersServer,
+		nodeInterface,
+		log: openLogger(LogPart.Node),
+		clock,
+		lingerMilliseconds: settings.lingerMilliseconds,
+		stopMilliseconds: settings.stopSeconds * 1000,
+		close,
+	});
 
 	return {
 		core, gossip, stop, stopReason, async whenReady() {
--- /dev/null
+++ b/packages/node/src/planned-stop.ts
@@ -0,0 +1,92 @@
+/**
+ * The planned stop of a node: new requests are served at first and refused later, and calls in flight finish.
+ *
+ * @module
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import type {CallersServer} from './callers-server.js';
+import {CoreMessageType, type CoreTask} from './core-task.js';
+import type {Logger} from './logs.js';
+import type {NodeInterface} from './node-interface.js';
+
+const pollMilliseconds = 20;
+const progressLogMilliseconds = 2000;
+
+/** Time between the announcement that the node has left and the close of its sockets, so that gossip can spread it. */
+const leaveGossipMilliseconds = 600;
+
+/** Longest time in which pending connections are read and refused before the node stops listening. */
+const pendingConnectionsMilliseconds = 400;
+
+/** Longest wait for the store to revoke the lease. An unrevoked lease lapses by itself; the platform kills a slow process. */
+const closeTimeoutMilliseconds = 400;
+
+export type PlannedStopDefinition = {
+	readonly core: CoreTask;
+	readonly callersServer: CallersServer;
+	readonly nodeInterface: NodeInterface;
+	readonly log: Logger;
+	/** Monotonic, in milliseconds. */
+	readonly clock: () => number;
+	/** Time in which new requests are still served, for callers that are not rerouted yet. */
+	readonly lingerMilliseconds: number;
+	/** Time after which calls in flight are no longer awaited. */
+	readonly stopMilliseconds: number;
+	/** Closes all sockets and revokes the lease. */
+	readonly close: () => Promise<void>;
+};
+
+/**
+ * Drains and stops a node; resolves to whether all open calls and requests ended in time.
+ *
+ * The node listens until its end, so that callers that connect late learn that their requests were not run, and so that the
+ * upstream can make the calls that its running work needs.
+ *
+ * @example
+ * const isFinished = await stopAsPlanned(definition);
+ */
+export async function stopAsPlanned(definition: PlannedStopDefinition): Promise<boolean> {
+	const {core, callersServer, nodeInterface, clock, lingerMilliseconds, stopMilliseconds, close} = definition;
+	const startedAt = clock();
+	const progressTimer = setInterval(() => {
+		logProgress(definition);
+	}, progressLogMilliseconds);
+	core.post({type: CoreMessageType.StartDraining});
+	nodeInterface.setStopping();
+	callersServer.closeAfterAnswers();
+	await delay(lingerMilliseconds);
+	core.post({type: CoreMessageType.RefuseNewRequests});
+	while (!isFinished(definition) && clock() < startedAt + stopMilliseconds) {
+		await delay(pollMilliseconds); // eslint-disable-line no-await-in-loop
+	}
+
+	clearInterval(progressTimer);
+	core.post({type: CoreMessageType.AnnounceLeft});
+	await delay(leaveGossipMilliseconds);
+	await callersServer.stopListening(clock() + pendingConnectionsMilliseconds);
+	const result = isFinished(definition);
+	logCutRequests(definition, startedAt);
+	await Promise.race([close(), delay(closeTimeoutMilliseconds)]);
+	return result;
+}
+
+function isFinished({core, callersServer}: PlannedStopDefinition): boolean {
+	return core.core.isDrained && callersServer.openRequests.length === 0;
+}
+
+function logProgress({core, callersServer, log}: PlannedStopDefinition): void {
+	const {openCalls, atMostOnce, admission} = core.core;
+	const ranges = atMostOnce.hasHandedOver ? 'are handed over' : 'are being handed over';
+	log.info(`draining: ${openCalls} open calls, ${callersServer.openRequests.length} open requests, ${admission.inFlight} calls in the upstream; key ranges ${ranges}`);
+}
+
+function logCutRequests({callersServer, log, clock}: PlannedStopDefinition, stopStartedAt: number): void {
+	const now = clock();
+	callersServer.openRequests.map(({requestId, startedAt, isFirst}) => {
+		const received = Math.round(startedAt - stopStartedAt);
+		log.warn(`a request is cut off by the stop: received ${received} ms after its start, ${Math.round(now - startedAt)} ms ago`, {
+			event: 'request-cut', request: requestId, received, isFirst,
+		});
+		return requestId;
+	});
+}
--- a/packages/node/src/tests/late-requests.test.ts
+++ b/packages/node/src/tests/late-requests.test.ts
@@ -30,6 +30,8 @@
 
 const requestText = (name: string): string => `GET /shop/items/${name} HTTP/1.1\r\nhost: h\r\n\r\n`;
 
+const refusal = /^HTTP\/1\.1 503 [\s\S]*laburnumspool-outcome: not-run\r\n[\s\S]*retry-after: \d+\r\n[\s\S]*connection: close\r\n[\s\S]*"kind":"leaving"/iu;
+
 async function startNode(t: Test, name: string): Promise<{daemon: Daemon; callersPort: number}> {
 	const [callers, peers, control, store] = await findFreePorts(4);
 	const daemon = await startDaemon(checkSettings({
@@ -107,6 +109,7 @@
 	quietCaller.socket.write(requestText('second'));
 	await stopped;
 	t.same(received, ['first'], 'the upstream receives only the request that was open before the stop');
+	t.match(quietCaller.text(), refusal);
 });
 
 test('a node that has nothing left in flight does not pass on a request while it announces that it has left', async t => {
@@ -117,4 +120,17 @@
 	caller.socket.write(requestText('late'));
 	await stopped;
 	t.same(received, [], 'the upstream receives no request');
+	t.match(caller.text(), refusal);
+});
+
+test('a caller that connects late in a stop is told that its request was not run', async t => {
+	const {entry, received, connect} = await startNodes(t);
+	const stopped = entry.stop();
+	await wait(lateMilliseconds);
+	const caller = await connect();
+	caller.socket.write(requestText('late'));
+	await caller.closed;
+	await stopped;
+	t.same(received, [], 'the upstream receives no request');
+	t.match(caller.text(), refusal);
 });
