Bound the whole planned stop, and use the time it has

Callers saw requests that were taken in the first seconds of a stop cut off 4.6 s after SIGTERM, although the platform waits 6 s.

Cause: stopSeconds bounded the wait for calls in flight only. The announcement that the node has left and the close of its sockets took up to a second more, so that the setting had to be well below the platform's time, and the last 1.4 s were not used for calls in flight.

Change: stopSeconds bounds the whole stop. The announcement is made early enough, and calls in flight still end while it spreads. Fractions of a second are valid; a linger time that leaves less than the last second of the stop is an error of the settings.

Both cases of late-requests.test failed before and pass now.

--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -12,7 +12,7 @@
 const pollMilliseconds = 20;
 const progressLogMilliseconds = 2000;
 
-/** Time between the announcement that the node has left and the close of its sockets, so that gossip can spread it. */
+/** Time between the announcement that the node has left and the close of its sockets, so that gossip can spread it. Calls still finish. */
 const leaveGossipMilliseconds = 600;
 
 /** Longest time in which pending connections are read and refused before the node stops listening. */
@@ -21,6 +21,9 @@
 /** Longest wait for the store to revoke the lease. An unrevoked lease lapses by itself; the platform kills a slow process. */
 const closeTimeoutMilliseconds = 400;
 
+/** Part of a stop in which no requests are taken. */
+export const minimumStopMilliseconds = leaveGossipMilliseconds + closeTimeoutMilliseconds;
+
 export type PlannedStopDefinition = {
 	readonly core: CoreTask;
 	readonly callersServer: CallersServer;
@@ -30,7 +33,7 @@
 	readonly clock: () => number;
 	/** Time in which new requests are still served, for callers that are not rerouted yet. */
 	readonly lingerMilliseconds: number;
-	/** Time after which calls in flight are no longer awaited. */
+	/** Longest duration of the stop, with the announcement that the node has left and the close of its sockets. */
 	readonly stopMilliseconds: number;
 	/** Closes all sockets and revokes the lease. */
 	readonly close: () => Promise<void>;
@@ -48,6 +51,7 @@
 export async function stopAsPlanned(definition: PlannedStopDefinition): Promise<boolean> {
 	const {core, callersServer, nodeInterface, clock, lingerMilliseconds, stopMilliseconds, close} = definition;
 	const startedAt = clock();
+	const closeAt = startedAt + stopMilliseconds - closeTimeoutMilliseconds;
 	const progressTimer = setInterval(() => {
 		logProgress(definition);
 	}, progressLogMilliseconds);
@@ -56,14 +60,14 @@
 	callersServer.closeAfterAnswers();
 	await delay(lingerMilliseconds);
 	core.post({type: CoreMessageType.RefuseNewRequests});
-	while (!isFinished(definition) && clock() < startedAt + stopMilliseconds) {
+	while (!isFinished(definition) && clock() < closeAt - leaveGossipMilliseconds) {
 		await delay(pollMilliseconds); // eslint-disable-line no-await-in-loop
 	}
 
 	clearInterval(progressTimer);
 	core.post({type: CoreMessageType.AnnounceLeft});
 	await delay(leaveGossipMilliseconds);
-	await callersServer.stopListening(clock() + pendingConnectionsMilliseconds);
+	await callersServer.stopListening(Math.min(clock() + pendingConnectionsMilliseconds, closeAt));
 	const result = isFinished(definition);
 	logCutRequests(definition, startedAt);
 	await Promise.race([close(), delay(closeTimeoutMilliseconds)]);
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -11,6 +11,7 @@
 import * as valibot from 'valibot';
 import {HeaderName} from './http-messages.js';
 import {LogFormat} from './logs.js';
+import {minimumStopMilliseconds} from './planned-stop.js';
 
 const portNumber = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(1), valibot.maxValue(65_535));
 /** A port number, or HOST:PORT, of which only the port is used. */
@@ -48,8 +49,7 @@
 /** Header names of a deployment; those without a default are not used unless they are set. */
 export type HeaderNames = valibot.InferOutput<typeof headersSchema>;
 
-/** Schema of the settings file. */
-export const settingsSchema = valibot.strictObject({
+const settingsFields = valibot.strictObject({
 	name: memberNameSchema,
 	region: text,
 	failureDomain: text,
@@ -114,12 +114,21 @@
 	}), {}),
 	/** Largest difference between the clocks that generate keys and the clocks of the VMs. */
 	clockErrorMilliseconds: valibot.optional(positive, 5000),
-	/** Time after the start of a planned stop in which new connections are accepted, for callers that are not rerouted yet. */
+	/** Time after the start of a planned stop in which new requests are served, for callers that are not rerouted yet. */
 	lingerMilliseconds: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0)), 0),
-	/** Longest duration of a planned stop. */
-	stopSeconds: valibot.optional(positive, 60),
+	/** Longest duration of a planned stop. Its last second is not available to new requests. */
+	stopSeconds: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(minimumStopMilliseconds / 1000)), 60),
 });
 
+/** Schema of the settings file. */
+export const settingsSchema = valibot.pipe(settingsFields, valibot.forward(
+	valibot.check(
+		({lingerMilliseconds, stopSeconds}) => lingerMilliseconds <= (stopSeconds * 1000) - minimumStopMilliseconds,
+		`Expected at most stopSeconds less ${minimumStopMilliseconds} ms`,
+	),
+	['lingerMilliseconds'],
+));
+
 /** Checked settings. */
 export type Settings = valibot.InferOutput<typeof settingsSchema>;
 
--- a/packages/node/src/tests/late-requests.test.ts
+++ b/packages/node/src/tests/late-requests.test.ts
@@ -12,6 +12,7 @@
 import {createLookManifest, doNothing, silentLog} from './fixtures.js';
 
 const stopSeconds = 2;
+const stopMilliseconds = stopSeconds * 1000;
 const lingerMilliseconds = 200;
 const waitMilliseconds = 20_000;
 
@@ -123,6 +124,35 @@
 	t.match(caller.text(), refusal);
 });
 
+test('a request that ends within the time of a stop is answered, and the stop takes no longer than its time', async t => {
+	const {entry, receipts, responses, connect} = await startNodes(t);
+	const caller = await connect();
+	const firstReceived = once(receipts, 'first');
+	caller.socket.write(requestText('first'));
+	await firstReceived;
+	const startedAt = performance.now();
+	const stopped = entry.stop();
+	await wait(stopMilliseconds - 500);
+	responses.get('first')!.end('whole answer');
+	await caller.closed;
+	t.equal(await stopped, true);
+	const milliseconds = performance.now() - startedAt;
+	t.match(caller.text(), /^HTTP\/1\.1 200 [\s\S]*whole answer$/u);
+	t.ok(milliseconds <= stopMilliseconds, `the stop took ${Math.round(milliseconds)} ms`);
+});
+
+test('a stop whose requests do not end takes no longer than its time', async t => {
+	const {entry, receipts, connect} = await startNodes(t);
+	const caller = await connect();
+	const firstReceived = once(receipts, 'first');
+	caller.socket.write(requestText('first'));
+	await firstReceived;
+	const startedAt = performance.now();
+	t.equal(await entry.stop(), false);
+	const milliseconds = performance.now() - startedAt;
+	t.ok(milliseconds <= stopMilliseconds, `the stop took ${Math.round(milliseconds)} ms`);
+});
+
 test('a caller that connects late in a stop is told that its request was not run', async t => {
 	const {entry, received, connect} = await startNodes(t);
 	const stopped = entry.stop();
--- a/packages/node/src/tests/stop.test.ts
+++ b/packages/node/src/tests/stop.test.ts
@@ -36,3 +36,11 @@
 	t.equal(pendingRevocations.length, 1, 'the revocation of the lease was requested');
 	t.notOk(pendingRevocations[0]!.destroyed, 'the store has not answered yet');
 });
+
+test('settings whose linger time leaves no time for the rest of a stop are invalid', async t => {
+	const settings = {
+		name: 'n', region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers: 1, peers: 2, control: 3}, store: {url: 'http://127.0.0.1:4'}, stopSeconds: 3.5,
+	};
+	t.throws(() => checkSettings({...settings, lingerMilliseconds: 2501}), /lingerMilliseconds: Expected at most stopSeconds less 1000 ms/u);
+	t.equal(checkSettings({...settings, lingerMilliseconds: 2500}).lingerMilliseconds, 2500);
+});
