Keep a node that has left from returning to draining

Cause: each announcement of the upstream, and the expiry of the last one, set the state of the own member. In the 0.6 s between the announcement that the node has left and its end, an announcement of the upstream returned it to draining, with a higher version that replaced the first in all views. Peers then kept a member that no longer existed until they had suspected it.

Change: the lifecycle of the upstream owns the end of the membership, and no later announcement changes it. Found by reading, while looking for what else a stop does in its last part.

Evidence: both assertions of the new case of node-core.test failed before; after it 292 passed, 0 failed in the tests of the core and promises.test.

--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -10,7 +10,7 @@
 import {EventType, toEvent, type EventDetails} from '../events/event.js';
 import {HybridClock, type HybridTime} from '../events/hybrid-clock.js';
 import {describeIssues, type Revision} from '../manifest/adoption.js';
-import {UpstreamState, type Member} from '../membership/member.js';
+import type {Member} from '../membership/member.js';
 import {Membership} from '../membership/membership.js';
 import type {GossipMessage} from '../membership/messages.js';
 import {manifestTopic, rangesTopic} from '../membership/rumors.js';
@@ -305,7 +305,7 @@
 
 	/** Announces to the other nodes that this one has left. Call it last, before the process stops. */
 	announceLeft(now: number): NodeEffect[] {
-		return this.#handleMembershipEffects(this.#membership.updateOwn({state: UpstreamState.Left}, now), now);
+		return this.#lifecycle.leave(now);
 	}
 
 	/** Processes timers and deadlines. Call it every few milliseconds. */
--- a/packages/core/src/node/upstream-lifecycle.ts
+++ b/packages/core/src/node/upstream-lifecycle.ts
@@ -52,6 +52,7 @@
 	readonly #dependencies: UpstreamLifecycleDependencies;
 	readonly #tracker = new UpstreamTracker();
 	#isDraining = false;
+	#hasLeft = false;
 	#announcedAt = -Infinity;
 	#announcedState: AnnouncedState | undefined;
 
@@ -113,6 +114,12 @@
 		return this.#setState(UpstreamState.Draining, now);
 	}
 
+	/** Ends the membership of the node. No later announcement of its upstream changes that. */
+	leave(now: number): NodeEffect[] {
+		this.#hasLeft = true;
+		return this.#updateMembership(UpstreamState.Left, now);
+	}
+
 	/** Stops sending calls to an upstream whose last announcement is too old. */
 	advance(now: number): NodeEffect[] {
 		const isExpired = this.#announcedState !== undefined && now - this.#announcedAt > announcementTimeoutMilliseconds;
@@ -125,13 +132,18 @@
 	}
 
 	#setState(state: UpstreamState, now: number): NodeEffect[] {
-		const {admission, membership, atMostOnce, flow, handleMembershipEffects} = this.#dependencies;
+		const {admission, atMostOnce, flow} = this.#dependencies;
 		const refused = state === UpstreamState.Draining ? flow.handleServingEffects(flow.serving.stopAccepting(now), now) : [];
 		if (state !== UpstreamState.Draining) {
 			admission.resumeAccepting();
 		}
 
 		atMostOnce.setDraining(state === UpstreamState.Draining);
-		return [...handleMembershipEffects(membership.updateOwn({state}, now), now), ...refused];
+		return [...(this.#hasLeft ? [] : this.#updateMembership(state, now)), ...refused];
+	}
+
+	#updateMembership(state: UpstreamState, now: number): NodeEffect[] {
+		const {membership, handleMembershipEffects} = this.#dependencies;
+		return handleMembershipEffects(membership.updateOwn({state}, now), now);
 	}
 }
--- a/packages/core/src/tests/node-core.test.ts
+++ b/packages/core/src/tests/node-core.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'tap';
 import {
-	allAdmissionMechanisms, AnnouncedState, ErrorKind, EventType, NodeCore, NodeEffectType, Outcome, type NodeDefinition, type NodeEffect,
+	allAdmissionMechanisms, AnnouncedState, ErrorKind, EventType, NodeCore, NodeEffectType, Outcome, UpstreamState, type NodeDefinition, type NodeEffect,
 } from '../index.js';
 import {createMember} from './fixtures.js';
 
@@ -39,3 +39,17 @@
 	}, 150);
 	t.same(node.advance(200).filter(effect => effect.type === NodeEffectType.Event), []);
 });
+
+test('an announcement of the upstream does not return a node that has left to draining', async t => {
+	const node = new NodeCore(definition);
+	const announce = (now: number): NodeEffect[] => node.upstreamAnnounced({
+		service: 's', slots: 1, state: AnnouncedState.Ready, load: undefined,
+	}, now);
+	announce(0);
+	node.startDraining(100);
+	node.announceLeft(200);
+	announce(300);
+	t.equal(node.own.state, UpstreamState.Left);
+	node.advance(60_000);
+	t.equal(node.own.state, UpstreamState.Left);
+});
