Wait at a stop until answers have left the process

Callers that read slowly got the beginning of their answer and a closed connection when the node stopped, although the stop had time left.

Cause: a request counted as finished once its answer was handed to the socket. The stop then closed the connection with the rest of the answer still in the memory of the process.

Change: a stop waits, within its time, until no connection of a caller holds unsent bytes.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -121,6 +121,11 @@
 		return this.#openRequests.values;
 	}
 
+	/** Whether all requests have their answers, and these have left this process. */
+	get isIdle(): boolean {
+		return this.#openRequests.size === 0 && !this.#openRequests.hasUnsentBytes;
+	}
+
 	/** Applies the limits of a manifest. A limit that it does not set keeps its current value. */
 	setLimits({headerBytes, headerMilliseconds, bodyBytes, idleMilliseconds}: CallerLimits): void {
 		this.#maximumHeaderBytes = headerBytes ?? this.#maximumHeaderBytes;
--- a/packages/node/src/open-requests.ts
+++ b/packages/node/src/open-requests.ts
@@ -92,6 +92,11 @@
 		return true;
 	}
 
+	/** Whether bytes of answers are still in the memory of this process, for callers that read slowly. */
+	get hasUnsentBytes(): boolean {
+		return [...this.#connections.keys()].some(socket => socket.writableLength > 0);
+	}
+
 	/** Whether no request was opened on a connection so far. */
 	isUnused(socket: Socket): boolean {
 		return !this.#connections.has(socket);
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -75,7 +75,7 @@
 }
 
 function isFinished({core, callersServer}: PlannedStopDefinition): boolean {
-	return core.core.isDrained && callersServer.openRequests.length === 0;
+	return core.core.isDrained && callersServer.isIdle;
 }
 
 function logProgress({core, callersServer, log}: PlannedStopDefinition): void {
--- a/packages/node/src/tests/late-requests.test.ts
+++ b/packages/node/src/tests/late-requests.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type ServerResponse} from 'node:http';
 import {createConnection, type AddressInfo, type Socket} from 'node:net';
@@ -16,6 +17,9 @@
 const lingerMilliseconds = 200;
 const waitMilliseconds = 20_000;
 
+/** More than the buffers of both ends of a connection hold. */
+const largeBytes = 16 * 1024 * 1024;
+
 /** A caller's connection and all that it has received. */
 type Caller = {readonly socket: Socket; readonly closed: Promise<unknown>; readonly text: () => string};
 
@@ -33,12 +37,14 @@
 
 const refusal = /^HTTP\/1\.1 503 [\s\S]*laburnumspool-outcome: not-run\r\n[\s\S]*retry-after: \d+\r\n[\s\S]*connection: close\r\n[\s\S]*"kind":"leaving"/iu;
 
+const manifest = createLookManifest(waitMilliseconds).replace('  shop:', `  shop:\n    answerBytesLimit: ${largeBytes}`);
+
 async function startNode(t: Test, name: string): Promise<{daemon: Daemon; callersPort: number}> {
 	const [callers, peers, control, store] = await findFreePorts(4);
 	const daemon = await startDaemon(checkSettings({
 		name, region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers, peers, control}, store: {url: `http://127.0.0.1:${store}`}, stopSeconds, lingerMilliseconds, admission: {adaptiveLimit: false},
 	}), () => silentLog);
-	daemon.core.post({type: CoreMessageType.ManifestArrived, revision: defaultDeployment.toRevision(1, createLookManifest(waitMilliseconds))});
+	daemon.core.post({type: CoreMessageType.ManifestArrived, revision: defaultDeployment.toRevision(1, manifest)});
 	return {daemon, callersPort: callers!};
 }
 
@@ -164,3 +170,19 @@
 	t.same(received, [], 'the upstream receives no request');
 	t.match(caller.text(), refusal);
 });
+
+test('a stop waits for a caller that reads its whole answer slowly', async t => {
+	const {entry, receipts, responses, connect} = await startNodes(t);
+	const caller = await connect();
+	const firstReceived = once(receipts, 'first');
+	caller.socket.write(requestText('first'));
+	await firstReceived;
+	caller.socket.pause();
+	const stopped = entry.stop();
+	responses.get('first')!.end(Buffer.alloc(largeBytes, 'x'));
+	await wait(stopMilliseconds - 600);
+	caller.socket.resume();
+	await caller.closed;
+	t.equal(await stopped, true);
+	t.equal(caller.text().split('\r\n\r\n')[1]?.length, largeBytes);
+});
