Answer the requests that are still open at the end of a stop

Callers whose request was still open when a stop had used up its time got a closed connection, also those whose request had not been run and could be sent again.

Cause: the end of a stop closed the connections without ending the calls. At a deadline the entry node cancels the call and learns from the serving node whether it was run; a stop did not.

Change: at the end of its time a stop ends all open calls as at their deadlines, the newest first. A request that is proven not run is answered with 503, another one with 502 and the outcome unknown.

The case with pipelined requests gets both answers in order.

--- a/packages/core/src/entry/entry-call.ts
+++ b/packages/core/src/entry/entry-call.ts
@@ -123,6 +123,8 @@
 	isCallerGone: boolean;
 	/** Whether the caller has received the head of the answer, so that the call cannot be sent again. */
 	hasStartedAnswer: boolean;
+	/** Whether the call ends because the node stops, before its deadline. */
+	isEndedByStop: boolean;
 	/** Time until which the reply to the cancellation is awaited. */
 	cancelDeadline: number;
 	/** Earliest time of the next lookup of the destination. */
--- a/packages/core/src/entry/entry-coordinator.ts
+++ b/packages/core/src/entry/entry-coordinator.ts
@@ -74,6 +74,7 @@
 			hasTriedLastResort: false,
 			isCallerGone: false,
 			hasStartedAnswer: false,
+			isEndedByStop: false,
 			cancelDeadline: 0,
 			nextLocateAt: 0,
 		};
@@ -182,6 +183,17 @@
 		return [{type: EntryEffectType.CancelAtPeer, member: sentCall.destination.member, callId: sentCall.callId}];
 	}
 
+	/**
+	 * Ends all calls as at their deadlines: their callers learn whether the call was not run or may have run. The newest are
+	 * cancelled first, so that the slot of a cancelled call is not given to one that waits and is cancelled next.
+	 */
+	endAll(now: number): EntryEffect[] {
+		return [...this.#calls.values()].toReversed().flatMap(state => {
+			state.isEndedByStop = true;
+			return state.phase === EntryPhase.Cancelling ? [] : this.#startCancelling(state, now);
+		});
+	}
+
 	/** Processes deadlines and pending lookups. */
 	advance(now: number): EntryEffect[] {
 		return [...this.#calls.values()].flatMap(state => this.#advanceCall(state, now));
@@ -221,8 +233,10 @@
 	}
 
 	#answerTimedOut(state: EntryState): EntryEffect[] {
-		const {lastError, request: {service, policy}} = state;
-		const error = {kind: ErrorKind.TimedOut, detail: `No answer to ${service}/${policy.kind} before the deadline${lastError === undefined ? '' : `; previous error: ${lastError.detail}`}`};
+		const {lastError, isEndedByStop, request: {service, policy}} = state;
+		const [kind, end] = isEndedByStop ? [ErrorKind.Draining, 'the node stopped'] : [ErrorKind.TimedOut, 'the deadline'];
+		const previousError = lastError === undefined ? '' : `; previous error: ${lastError.detail}`;
+		const error = {kind, detail: `No answer to ${service}/${policy.kind} before ${end}${previousError}`};
 		return this.#answerCaller(state, this.#finalOutcome(state), error);
 	}
 
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -303,6 +303,11 @@
 		this.#refusesNewRequests = true;
 	}
 
+	/** Ends the calls that entered at this node, since a planned stop has no time left for them. */
+	endOpenCalls(now: number): NodeEffect[] {
+		return this.#flow.handleEntryEffects(this.#flow.entry.endAll(now), now);
+	}
+
 	/** Announces to the other nodes that this one has left. Call it last, before the process stops. */
 	announceLeft(now: number): NodeEffect[] {
 		return this.#lifecycle.leave(now);
--- a/packages/node/src/core-task.ts
+++ b/packages/node/src/core-task.ts
@@ -41,6 +41,7 @@
 	SeedsRead = 'seeds-read',
 	StartDraining = 'leave',
 	RefuseNewRequests = 'refuse-new-requests',
+	EndOpenCalls = 'end-open-calls',
 	AnnounceLeft = 'left',
 	Tick = 'tick',
 }
@@ -72,6 +73,7 @@
 	[CoreMessageType.SeedsRead]: {readonly seeds: ReadonlyArray<{readonly host: string; readonly port: number}>};
 	[CoreMessageType.StartDraining]: object;
 	[CoreMessageType.RefuseNewRequests]: object;
+	[CoreMessageType.EndOpenCalls]: object;
 	[CoreMessageType.AnnounceLeft]: object;
 	[CoreMessageType.Tick]: object;
 };
@@ -127,6 +129,7 @@
 		core.refuseNewRequests();
 		return [];
 	},
+	[CoreMessageType.EndOpenCalls]: (core, _message, now) => core.endOpenCalls(now),
 	[CoreMessageType.AnnounceLeft]: (core, _message, now) => core.announceLeft(now),
 	[CoreMessageType.Tick]: (core, _message, now) => core.advance(now),
 };
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -15,6 +15,9 @@
 /** Time between the announcement that the node has left and the close of its sockets, so that gossip can spread it. Calls still finish. */
 const leaveGossipMilliseconds = 600;
 
+/** Time in which calls that are still in flight at the end are cancelled and answered. It is part of `closeTimeoutMilliseconds`. */
+const finalAnswersMilliseconds = 150;
+
 /** Longest time in which pending connections are read and refused before the node stops listening. */
 const pendingConnectionsMilliseconds = 400;
 
@@ -67,11 +70,17 @@
 	clearInterval(progressTimer);
 	core.post({type: CoreMessageType.AnnounceLeft});
 	await delay(leaveGossipMilliseconds);
+	const hasOpenCalls = !core.core.isDrained || callersServer.openRequests.length > 0;
+	if (hasOpenCalls) {
+		logCutRequests(definition, startedAt);
+		core.post({type: CoreMessageType.EndOpenCalls});
+		await delay(finalAnswersMilliseconds);
+	}
+
 	await callersServer.stopListening(Math.min(clock() + pendingConnectionsMilliseconds, closeAt));
-	const result = isFinished(definition);
-	logCutRequests(definition, startedAt);
-	await Promise.race([close(), delay(closeTimeoutMilliseconds)]);
-	return result;
+	const hasSentAnswers = callersServer.isIdle;
+	await Promise.race([close(), delay(Math.min(closeTimeoutMilliseconds, startedAt + stopMilliseconds - clock()))]);
+	return hasSentAnswers && !hasOpenCalls;
 }
 
 function isFinished({core, callersServer}: PlannedStopDefinition): boolean {
--- a/packages/node/src/tests/late-requests.test.ts
+++ b/packages/node/src/tests/late-requests.test.ts
@@ -49,7 +49,7 @@
 }
 
 /** Starts an entry node, and another node beside an upstream that answers when the test says so. */
-async function startNodes(t: Test): Promise<StartedNodes> {
+async function startNodes(t: Test, slots = 8): Promise<StartedNodes> {
 	const received: string[] = [];
 	const receipts = new EventTarget();
 	const responses = new Map<string, ServerResponse>();
@@ -69,7 +69,7 @@
 	});
 	serving.daemon.core.post({
 		type: CoreMessageType.UpstreamAnnounced, announcement: {
-			service: 'shop', address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`, slots: 8, connections: 8, state: AnnouncedState.Ready, load: undefined,
+			service: 'shop', address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`, slots, connections: slots, state: AnnouncedState.Ready, load: undefined,
 		},
 	});
 	entry.daemon.core.post({type: CoreMessageType.ViewArrived, members: [serving.daemon.core.core.own], rumors: []});
@@ -103,6 +103,9 @@
 	caller.socket.write(requestText('second'));
 	await stopped;
 	t.same(received, ['first'], 'the upstream receives only the request that was open before the stop');
+	t.same(caller.text().match(/HTTP\/1\.1 \d+|laburnumspool-outcome: [\w-]+/gu), [
+		'HTTP/1.1 502', 'laburnumspool-outcome: unknown', 'HTTP/1.1 503', 'laburnumspool-outcome: not-run',
+	]);
 });
 
 test('a stopping node does not pass on the first request of an old connection late in the stop', async t => {
@@ -171,6 +174,20 @@
 	t.match(caller.text(), refusal);
 });
 
+test('requests that are open at the end of a stop are answered with what is known of them', async t => {
+	const {entry, received, receipts, connect} = await startNodes(t, 1);
+	const [running, waiting] = [await connect(), await connect()];
+	const runningReceived = once(receipts, 'running');
+	running.socket.write(requestText('running'));
+	await runningReceived;
+	waiting.socket.write(requestText('waiting'));
+	t.equal(await entry.stop(), false, 'the stop reports that requests were in flight');
+	await Promise.all([running.closed, waiting.closed]);
+	t.match(running.text(), /^HTTP\/1\.1 502 [\s\S]*laburnumspool-outcome: unknown\r\n[\s\S]*"kind":"leaving"/u);
+	t.match(waiting.text(), refusal);
+	t.same(received, ['running'], 'the upstream receives no other request');
+});
+
 test('a stop waits for a caller that reads its whole answer slowly', async t => {
 	const {entry, receipts, responses, connect} = await startNodes(t);
 	const caller = await connect();
