Let a second signal not end a planned stop

Callers of a node that got a second SIGTERM during its stop lost every request in flight.

Cause: the handler of SIGTERM was removed after the first signal, so the second had its default effect and ended the process at once. The handlers were also registered only after the daemon had started, so that a SIGHUP during the start ended it.

Change: the handlers are registered before the start and stay. Later stop signals are logged and change nothing; a signal during the start stops the node as planned once it has started.

Evidence: the new case of processes.test sends SIGTERM, SIGINT, SIGHUP and SIGTERM to a node that is stopping. A signal during the start was not tested.

--- a/demo/src/tests/processes.test.ts
+++ b/demo/src/tests/processes.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {join} from 'node:path';
 import {test} from 'tap';
 import {request} from 'undici';
@@ -23,6 +24,17 @@
 	t.equal(lost.code, 0, 'a shipment whose confirmation is lost still succeeds');
 });
 
+test('further signals do not end a planned stop before its work is done', async t => {
+	const system = await startSmallSystem(t);
+	const {node} = findInstance(system, 'deposits-0');
+	const exited = once(node.child, 'exit');
+	node.child.kill('SIGTERM');
+	await node.whenPrinted('drains and stops after SIGTERM');
+	['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGTERM'].map(signal => node.child.kill(signal as NodeJS.Signals));
+	t.same(await exited, [0, null]);
+	t.match(node.lines.at(-1), /stopped with nothing in flight/u);
+});
+
 test('the time line orders the events of all nodes by time', async t => {
 	const system = await startSmallSystem(t);
 	const entry = findInstance(system, 'deliveries-0');
--- a/packages/node/src/run.ts
+++ b/packages/node/src/run.ts
@@ -8,7 +8,7 @@
 import {ExitCode, runCommandLine, version} from '@laburnumspool/manifest';
 import {cac} from 'cac';
 import {defaultDeployment, startDaemon, type Deployment} from './daemon.js';
-import {LogPart, createLoggerFactory} from './logs.js';
+import {LogPart, createLoggerFactory, type Logger} from './logs.js';
 import {settingsPollMilliseconds, SettingsWatch} from './settings-watch.js';
 import {readSettings} from './settings.js';
 
@@ -46,14 +46,16 @@
 
 	const openLogger = createLoggerFactory(settings.logLevel, settings.logFormat, settings.name);
 	const log = openLogger(LogPart.Node);
-	const daemon = await startDaemon(settings, openLogger, deployment);
 	const settingsWatch = new SettingsWatch(options.settings, settings, log);
-	setInterval(() => {
-		settingsWatch.poll();
-	}, settingsPollMilliseconds);
+	// Without a handler a signal ends the process, also while the daemon starts.
 	process.on('SIGHUP', () => {
 		settingsWatch.recheck();
 	});
+	const stopSignal = receiveStopSignal(log);
+	const daemon = await startDaemon(settings, openLogger, deployment);
+	setInterval(() => {
+		settingsWatch.poll();
+	}, settingsPollMilliseconds);
 	const superseded = daemon.stopReason.then(reason => {
 		log.error(`stops: ${reason}`);
 		return undefined;
@@ -61,7 +63,7 @@
 	const whenReady = daemon.whenReady().then(() => {
 		log.info(`ready for callers at ${settings.host}:${settings.ports.callers}`);
 	});
-	const signal = await Promise.race([receiveStopSignal(), superseded]);
+	const signal = await Promise.race([stopSignal, superseded]);
 	void whenReady;
 	if (signal === undefined) {
 		exitWith(ExitCode.Failure);
@@ -78,13 +80,17 @@
 	process.exit(code); // eslint-disable-line unicorn/no-process-exit
 }
 
-async function receiveStopSignal(): Promise<string> {
+/** Resolves with the first stop signal. Later ones have no effect, so that they do not cut off the work that the stop awaits. */
+async function receiveStopSignal(log: Logger): Promise<string> {
 	return new Promise(resolve => {
-		process.once('SIGTERM', () => {
-			resolve('SIGTERM');
-		});
-		process.once('SIGINT', () => {
-			resolve('SIGINT');
-		});
+		let isStopping = false;
+		['SIGTERM', 'SIGINT'].map(signal => process.on(signal, () => {
+			if (isStopping) {
+				log.info(`ignores ${signal}: the node is already stopping`);
+			}
+
+			isStopping = true;
+			resolve(signal);
+		}));
 	});
 }
