Take the time of a stop from the platform

Cause: the deployment had a fixed time for a stop, while the platform states how long it waits before it kills a process, and that time differs between deployments.

Change: stopSeconds of the deployment is the platform's time, and the new setting stopMarginMilliseconds is the part of it that a stop leaves unused.

--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -202,7 +202,7 @@
 		log: openLogger(LogPart.Node),
 		clock,
 		lingerMilliseconds: settings.lingerMilliseconds,
-		stopMilliseconds: settings.stopSeconds * 1000,
+		stopMilliseconds: (settings.stopSeconds * 1000) - settings.stopMarginMilliseconds,
 		close,
 	});
 
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -118,13 +118,15 @@
 	lingerMilliseconds: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0)), 0),
 	/** Longest duration of a planned stop. Its last second is not available to new requests. */
 	stopSeconds: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(minimumStopMilliseconds / 1000)), 60),
+	/** Part of `stopSeconds` that a stop leaves unused, for a platform that kills the process at the end of that time. */
+	stopMarginMilliseconds: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0)), 0),
 });
 
 /** Schema of the settings file. */
 export const settingsSchema = valibot.pipe(settingsFields, valibot.forward(
 	valibot.check(
-		({lingerMilliseconds, stopSeconds}) => lingerMilliseconds <= (stopSeconds * 1000) - minimumStopMilliseconds,
-		`Expected at most stopSeconds less ${minimumStopMilliseconds} ms`,
+		({lingerMilliseconds, stopSeconds, stopMarginMilliseconds}) => lingerMilliseconds + minimumStopMilliseconds <= (stopSeconds * 1000) - stopMarginMilliseconds,
+		`Expected at most stopSeconds less stopMarginMilliseconds and ${minimumStopMilliseconds} ms`,
 	),
 	['lingerMilliseconds'],
 ));
--- a/packages/node/src/tests/stop.test.ts
+++ b/packages/node/src/tests/stop.test.ts
@@ -39,8 +39,8 @@
 
 test('settings whose linger time leaves no time for the rest of a stop are invalid', async t => {
 	const settings = {
-		name: 'n', region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers: 1, peers: 2, control: 3}, store: {url: 'http://127.0.0.1:4'}, stopSeconds: 3.5,
+		name: 'n', region: 'r', failureDomain: 'f', host: '127.0.0.1', ports: {callers: 1, peers: 2, control: 3}, store: {url: 'http://127.0.0.1:4'}, stopSeconds: 3.7, stopMarginMilliseconds: 200,
 	};
-	t.throws(() => checkSettings({...settings, lingerMilliseconds: 2501}), /lingerMilliseconds: Expected at most stopSeconds less 1000 ms/u);
+	t.throws(() => checkSettings({...settings, lingerMilliseconds: 2501}), /lingerMilliseconds: Expected at most stopSeconds less stopMarginMilliseconds and 1000 ms/u);
 	t.equal(checkSettings({...settings, lingerMilliseconds: 2500}).lingerMilliseconds, 2500);
 });
