Show a rejected request that closes its connection under a later one

Callers saw a closed connection and no answer to a request that was passed on, when a request before it on the same connection was rejected by the node itself (400, 404, 431, or 503 for too many open requests). Measured: of three requests sent at once, the second with a malformed time, the third gets no answer.

--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -131,6 +131,21 @@
 	t.same(text.match(/x-id: \w+|body of \w+;/gu), ['x-id: one', 'body of one;', 'x-id: two', 'body of two;', 'x-id: three', 'body of three;']);
 });
 
+test('a rejected request does not close its connection under a later request that is open', async t => {
+	const {messages, messageEvents, answer, connect} = await startServer(t);
+	const socket = await connect();
+	const requestText = (name: string, time: string): string => `GET /${name} HTTP/1.1\r\nhost: h\r\nx-id: ${name}\r\nx-time: ${time}\r\n\r\n`;
+	socket.write(requestText('one', '1000') + requestText('two', 'invalid') + requestText('three', '1000'));
+	await waitForRequests(messageEvents, messages, 2);
+	const [one, three] = requestsOf(messages).map(({entryId}) => entryId);
+	const received = readUntil(socket, 'body of three;');
+	answer(one!, 'body of one;');
+	await wait(50);
+	answer(three!, 'body of three;');
+	const text = await received;
+	t.same(text.match(/HTTP\/1\.1 \d+|body of \w+;/gu), ['HTTP/1.1 200', 'body of one;', 'HTTP/1.1 400', 'HTTP/1.1 200', 'body of three;']);
+});
+
 test('when a caller closes its connection, the core receives a message for each open request', async t => {
 	const {messages, messageEvents, connect} = await startServer(t);
 	const socket = await connect();
