Keep a connection open after a rejected request that was read

Callers saw: a connection that was closed although the node had passed a later request of it on to an upstream. Cause: an answer to a rejected request destroyed the request, which also closes the connection if nobody has read the end of the request, as with all requests without a body. Change: only a request that was not received to its end is destroyed; no later request can be open then. Measured: of three requests sent at once, the second rejected, two were answered before and all three are now.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -337,6 +337,11 @@
 
 /** Answers with an error, and then closes the connection unless the request was read to its end. */
 function refuse(request: IncomingMessage, response: ServerResponse, error: unknown): void {
-	response.once('finish', () => request.destroy());
+	response.once('finish', () => {
+		// Destroying a request that was read would close its connection under the later ones.
+		if (!request.complete) {
+			request.destroy();
+		}
+	});
 	sendProblem(response, toCallError(error));
 }
