Show a nested call that a stopping node takes and cuts off

The last calls that entered at a stopping node are ended 150 ms before its connections are closed. The call of another node that its upstream still runs is not among them, and a nested call that the upstream makes for it in these 150 ms was passed on, and its connection closed without an answer.

--- a/packages/core/src/tests/node-core.test.ts
+++ b/packages/core/src/tests/node-core.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'tap';
 import {
-	allAdmissionMechanisms, AnnouncedState, ErrorKind, EventType, NodeCore, NodeEffectType, Outcome, UpstreamState, type NodeDefinition, type NodeEffect,
+	allAdmissionMechanisms, AnnouncedState, ErrorKind, EventType, Importance, NodeCore, NodeEffectType, Outcome, priorityOf, safeParseManifest, Semantics, UpstreamState, type CallerRequest, type Manifest, type NodeDefinition, type NodeEffect,
 } from '../index.js';
 import {createMember} from './fixtures.js';
 
@@ -53,3 +53,66 @@
 	node.advance(60_000);
 	t.equal(node.own.state, UpstreamState.Left);
 });
+
+const {manifest} = safeParseManifest({
+	name: 'shop',
+	retriesPerAction: 0,
+	services: {
+		s: {
+			requests: [{
+				kind: 'look', methods: ['GET'], path: '/items*', importance: 'normal', semantics: 'idempotent', waitMilliseconds: 10_000,
+			}],
+		},
+	},
+}) as {manifest: Manifest};
+
+/** A node whose upstream runs a call of another node. */
+function startServingNode(): NodeCore {
+	const node = new NodeCore(definition);
+	node.manifestArrived({number: 1, document: '', manifest}, 0);
+	node.upstreamAnnounced({
+		service: 's', slots: 4, state: AnnouncedState.Ready, load: undefined,
+	}, 0);
+	node.viewArrived([createMember('q')], [], 0);
+	node.callArrived({
+		callId: 'n.1.1',
+		action: {actionId: 'a'.repeat(32), vendorTraceState: []},
+		requestId: 'parent',
+		service: 's',
+		kind: 'look',
+		semantics: Semantics.Idempotent,
+		answerBytesLimit: 1000,
+		importance: Importance.Normal,
+		priority: priorityOf(Importance.Normal, 64),
+		timeLeftMilliseconds: 10_000,
+		retries: 0,
+		key: undefined,
+		epoch: 0,
+		lastResort: false,
+		revision: 1,
+		request: {
+			method: 'GET', target: '/items', headers: [], body: Buffer.alloc(0), digest: '',
+		},
+	}, 0, 10);
+	return node;
+}
+
+const createRequest = (entryId: number, requestId: string, key?: string): CallerRequest => ({
+	entryId, service: 's', requestId, request: {
+		method: 'GET', target: '/items', headers: [], body: Buffer.alloc(0), digest: '',
+	}, key, timeoutMilliseconds: undefined, traceparent: undefined, tracestate: undefined,
+});
+
+const callTypes: ReadonlySet<NodeEffectType> = new Set([NodeEffectType.AnswerCaller, NodeEffectType.SendCall]);
+const callEffects = (effects: readonly NodeEffect[]): NodeEffect[] => effects.filter(({type}) => callTypes.has(type));
+
+const leavingAnswer = (entryId: number, outcome = Outcome.NotRun): object => ({type: NodeEffectType.AnswerCaller, entryId, answer: {outcome, error: {kind: ErrorKind.Draining}}});
+
+test('a stopping node opens the nested calls of its running work, but none after it has ended the open calls', async t => {
+	const node = startServingNode();
+	node.startDraining(20);
+	node.refuseNewRequests();
+	t.match(callEffects(node.callerRequested(createRequest(1, 'parent.1'), 30)), [{type: NodeEffectType.SendCall}]);
+	node.endOpenCalls(40);
+	t.match(callEffects(node.callerRequested(createRequest(2, 'parent.2'), 50)), [leavingAnswer(2)]);
+});
