Open no nested calls after a stopping node has ended its calls

Callers saw, if they are an upstream whose running work makes a call in the last 150 ms of a stop: a closed connection, although the call was passed on. Cause: nested calls were opened until the connections were closed. Change: once the open calls are ended, every request is refused. Measured in the test on the core: the call was sent to another node before and is answered as not run now.

--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -43,6 +43,8 @@
 const defaultRememberSeconds = 600;
 const longestCallMilliseconds = 600_000;
 
+const stoppingError: CallError = {kind: ErrorKind.Draining, detail: 'The node is stopping and takes no new requests'};
+
 /**
  * One node. Times are milliseconds on one monotonic clock.
  *
@@ -66,6 +68,7 @@
 	readonly #lifecycle: UpstreamLifecycle;
 	readonly #versions: VersionUpdates;
 	#refusesNewRequests = false;
+	#hasEndedCalls = false;
 	#nextMaintenanceAt = 0;
 	#reportedLimit = 0;
 
@@ -164,6 +167,10 @@
 
 	callerRequested(caller: CallerRequest, now: number): NodeEffect[] {
 		const {current} = this.#manifest;
+		if (this.#hasEndedCalls) {
+			return [this.#refuseCaller(caller, stoppingError)];
+		}
+
 		if (current === undefined) {
 			return [this.#refuseCaller(caller, {kind: ErrorKind.NotReady, detail: 'The node has no manifest yet'})];
 		}
@@ -303,8 +310,9 @@
 		this.#refusesNewRequests = true;
 	}
 
-	/** Ends the calls that entered at this node, since a planned stop has no time left for them. */
+	/** Ends the calls that entered at this node, since a planned stop has no time left for them, and refuses all later ones. */
 	endOpenCalls(now: number): NodeEffect[] {
+		this.#hasEndedCalls = true;
 		return this.#flow.handleEntryEffects(this.#flow.entry.endAll(now), now);
 	}
 
@@ -352,7 +360,7 @@
 		}
 
 		if (this.#refusesNewRequests && result.parentCallId === undefined) {
-			return [this.#refuseCaller(caller, {kind: ErrorKind.Draining, detail: 'The node is stopping and takes no new requests'})];
+			return [this.#refuseCaller(caller, stoppingError)];
 		}
 
 		return this.#flow.open(result.entryRequest, result.parentCallId, now);
