Show a request that a stopping node holds until it closes the connection

A stopping node that has learned of a newer manifest revision holds new requests for up to 250 ms, also when it is about to close its connections. The callers of requests that were held at the end saw a closed connection and no answer.

--- a/packages/core/src/tests/node-core.test.ts
+++ b/packages/core/src/tests/node-core.test.ts
@@ -1,7 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'tap';
 import {
-	allAdmissionMechanisms, AnnouncedState, ErrorKind, EventType, Importance, NodeCore, NodeEffectType, Outcome, priorityOf, safeParseManifest, Semantics, UpstreamState, type CallerRequest, type Manifest, type NodeDefinition, type NodeEffect,
+	allAdmissionMechanisms, AnnouncedState, ErrorKind, EventType, Importance, NodeCore, NodeEffectType, Outcome, priorityOf, safeParseManifest, Semantics, UpstreamState,
+	type CallerRequest, type Manifest, type NodeDefinition, type NodeEffect,
 } from '../index.js';
 import {createMember} from './fixtures.js';
 
@@ -116,3 +117,18 @@
 	node.endOpenCalls(40);
 	t.match(callEffects(node.callerRequested(createRequest(2, 'parent.2'), 50)), [leavingAnswer(2)]);
 });
+
+test('a stopping node answers the requests that it holds for a newer revision before it closes their connections', async t => {
+	const node = startServingNode();
+	const clock = 0;
+	node.startDraining(20);
+	node.refuseNewRequests();
+	node.callAnswered({
+		callId: 'other', outcome: Outcome.NotRun, coversAction: false, answer: undefined, error: undefined, retriesSpent: 0, serving: {
+			headroom: 1, level: 0, downstreamLevel: 0, draining: false, revision: 2, servedMilliseconds: 0,
+		},
+	}, clock, 30);
+	t.same(callEffects(node.callerRequested(createRequest(1, 'held'), 40)), []);
+	t.match(callEffects(node.endOpenCalls(50)), [leavingAnswer(1)]);
+	t.match(callEffects(node.callerRequested(createRequest(2, 'late'), 60)), [leavingAnswer(2)]);
+});
