Answer the requests that a stopping node holds before it closes

Callers saw: a closed connection without an answer, for requests that were held for a newer manifest revision when a stop closed its connections. Cause: the end of the open calls did not include the held requests. Change: it refuses them as not run and later requests are not held.

--- a/packages/core/src/node/active-manifest.ts
+++ b/packages/core/src/node/active-manifest.ts
@@ -100,6 +100,11 @@
 			return [];
 		}
 
+		return this.releaseAll();
+	}
+
+	/** Removes and returns the held requests, whether the revision has arrived or not. */
+	releaseAll(): CallerRequest[] {
 		const heldRequests = this.#heldRequests;
 		this.#heldRequests = [];
 		return heldRequests;
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -313,7 +313,8 @@
 	/** Ends the calls that entered at this node, since a planned stop has no time left for them, and refuses all later ones. */
 	endOpenCalls(now: number): NodeEffect[] {
 		this.#hasEndedCalls = true;
-		return this.#flow.handleEntryEffects(this.#flow.entry.endAll(now), now);
+		const refused = this.#manifest.releaseAll().map(caller => this.#refuseCaller(caller, stoppingError));
+		return [...refused, ...this.#flow.handleEntryEffects(this.#flow.entry.endAll(now), now)];
 	}
 
 	/** Announces to the other nodes that this one has left. Call it last, before the process stops. */
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -73,7 +73,11 @@
 	const hasOpenCalls = !core.core.isDrained || callersServer.openRequests.length > 0;
 	if (hasOpenCalls) {
 		logCutRequests(definition, startedAt);
-		core.post({type: CoreMessageType.EndOpenCalls});
+	}
+
+	// Also without open calls, since a request that arrives from now on must not be held for a newer manifest revision.
+	core.post({type: CoreMessageType.EndOpenCalls});
+	if (hasOpenCalls) {
 		await delay(finalAnswersMilliseconds);
 	}
 
