Show an idempotent request with a key that a stopping node does not refuse as not run

Idempotent requests, and all requests of manifests with routes, do not use their key. After the linger time a stopping node still answered those that have one with 502 and the outcome unknown, and not with 503. The test on the core fails.

--- a/packages/core/src/tests/node-core.test.ts
+++ b/packages/core/src/tests/node-core.test.ts
@@ -132,3 +132,10 @@
 	t.match(callEffects(node.endOpenCalls(50)), [leavingAnswer(1)]);
 	t.match(callEffects(node.callerRequested(createRequest(2, 'late'), 60)), [leavingAnswer(2)]);
 });
+
+test('a stopping node refuses an idempotent request as not run, also when it has a key, which such a request does not use', async t => {
+	const node = startServingNode();
+	node.startDraining(20);
+	node.refuseNewRequests();
+	t.match(callEffects(node.callerRequested(createRequest(1, 'late', 'key'), 30)), [leavingAnswer(1)]);
+});
