Refuse idempotent requests at a stop as not run, whatever key they carry

Callers of idempotent requests that carry a key, and all callers of manifests with routes, got 502 with the outcome unknown from a stopping node, although such requests do not use their key.

Cause: the refusal looked at the key of the request, and not at that of the call. Change: a stopping node refuses a request once its call is resolved. Only at-most-once calls with a key get the outcome unknown, because an earlier request with the key may have run elsewhere.

Evidence: the case of node-core.test failed before and passes now; 312 passed, 0 failed in the tests of the core and of the promises.

--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -167,15 +167,11 @@
 
 	callerRequested(caller: CallerRequest, now: number): NodeEffect[] {
 		const {current} = this.#manifest;
-		if (this.#hasEndedCalls) {
-			return [this.#refuseCaller(caller, stoppingError)];
-		}
-
 		if (current === undefined) {
-			return [this.#refuseCaller(caller, {kind: ErrorKind.NotReady, detail: 'The node has no manifest yet'})];
+			return [this.#refuseCaller(caller.entryId, caller.key, {kind: ErrorKind.NotReady, detail: 'The node has no manifest yet'})];
 		}
 
-		return this.#manifest.hold(caller, now) ? [] : this.#openCall(caller, current, now);
+		return !this.#hasEndedCalls && this.#manifest.hold(caller, now) ? [] : this.#openCall(caller, current, now);
 	}
 
 	callerDisconnected(entryId: number, now: number): NodeEffect[] {
@@ -313,7 +309,7 @@
 	/** Ends the calls that entered at this node, since a planned stop has no time left for them, and refuses all later ones. */
 	endOpenCalls(now: number): NodeEffect[] {
 		this.#hasEndedCalls = true;
-		const refused = this.#manifest.releaseAll().map(caller => this.#refuseCaller(caller, stoppingError));
+		const refused = this.#manifest.releaseAll().flatMap(caller => this.callerRequested(caller, now));
 		return [...refused, ...this.#flow.handleEntryEffects(this.#flow.entry.endAll(now), now)];
 	}
 
@@ -360,8 +356,8 @@
 			return [this.#answerCaller(caller.entryId, Outcome.NotRun, result.error)];
 		}
 
-		if (this.#refusesNewRequests && result.parentCallId === undefined) {
-			return [this.#refuseCaller(caller, stoppingError)];
+		if (this.#hasEndedCalls || (this.#refusesNewRequests && result.parentCallId === undefined)) {
+			return [this.#refuseCaller(caller.entryId, result.entryRequest.key, stoppingError)];
 		}
 
 		return this.#flow.open(result.entryRequest, result.parentCallId, now);
@@ -420,7 +416,7 @@
 	}
 
 	/** An earlier request with the key may have run at another node. Only the primary of the key can exclude that. */
-	#refuseCaller({entryId, key}: CallerRequest, error: CallError): NodeEffect {
+	#refuseCaller(entryId: number, key: string | undefined, error: CallError): NodeEffect {
 		return this.#answerCaller(entryId, key === undefined ? Outcome.NotRun : Outcome.Unknown, error);
 	}
 
