Wait at a stop until answers to other nodes have left the process

Callers at other nodes saw: 502 with the outcome unknown for requests whose answers were complete at the stopping node, if the link is slow. Cause: an answer counted as sent once it was handed to the link. Change: the stop also waits for the bytes of its links, as it does for those of its callers.

--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -198,6 +198,7 @@
 	const stop = async (): Promise<boolean> => stopAsPlanned({
 		core,
 		callersServer,
+		peersServer,
 		nodeInterface,
 		log: openLogger(LogPart.Node),
 		clock,
--- a/packages/node/src/peer-link.ts
+++ b/packages/node/src/peer-link.ts
@@ -71,6 +71,11 @@
 		return this.#socket.writableLength > congestionBytes;
 	}
 
+	/** Whether bytes of frames are still in the memory of this process. */
+	get hasUnsentBytes(): boolean {
+		return this.#pendingParts.length > 0 || this.#socket.writableLength > 0;
+	}
+
 	/** Sends a frame. Frames of one turn of the event loop are written together. Does nothing on a closed link. */
 	send(type: FrameType, content: Buffer = emptyContent): void {
 		if (this.#isClosed) {
--- a/packages/node/src/peers-server.ts
+++ b/packages/node/src/peers-server.ts
@@ -89,6 +89,11 @@
 		});
 	}
 
+	/** Whether answers to other nodes are still in the memory of this process. */
+	get hasUnsentBytes(): boolean {
+		return [...this.#links.keys()].some(link => link.hasUnsentBytes);
+	}
+
 	async listen(port: number, host: string): Promise<void> {
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -8,6 +8,7 @@
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import type {Logger} from './logs.js';
 import type {NodeInterface} from './node-interface.js';
+import type {PeersServer} from './peers-server.js';
 
 const pollMilliseconds = 20;
 const progressLogMilliseconds = 2000;
@@ -30,6 +31,7 @@
 export type PlannedStopDefinition = {
 	readonly core: CoreTask;
 	readonly callersServer: CallersServer;
+	readonly peersServer: PeersServer;
 	readonly nodeInterface: NodeInterface;
 	readonly log: Logger;
 	/** Monotonic, in milliseconds. */
@@ -52,7 +54,7 @@
  * const isFinished = await stopAsPlanned(definition);
  */
 export async function stopAsPlanned(definition: PlannedStopDefinition): Promise<boolean> {
-	const {core, callersServer, nodeInterface, clock, lingerMilliseconds, stopMilliseconds, close} = definition;
+	const {core, callersServer, peersServer, nodeInterface, clock, lingerMilliseconds, stopMilliseconds, close} = definition;
 	const startedAt = clock();
 	const closeAt = startedAt + stopMilliseconds - closeTimeoutMilliseconds;
 	const progressTimer = setInterval(() => {
@@ -82,13 +84,13 @@
 	}
 
 	await callersServer.stopListening(Math.min(clock() + pendingConnectionsMilliseconds, closeAt));
-	const hasSentAnswers = callersServer.isIdle;
+	const hasSentAnswers = callersServer.isIdle && !peersServer.hasUnsentBytes;
 	await Promise.race([close(), delay(Math.min(closeTimeoutMilliseconds, startedAt + stopMilliseconds - clock()))]);
 	return hasSentAnswers && !hasOpenCalls;
 }
 
-function isFinished({core, callersServer}: PlannedStopDefinition): boolean {
-	return core.core.isDrained && callersServer.isIdle;
+function isFinished({core, callersServer, peersServer}: PlannedStopDefinition): boolean {
+	return core.core.isDrained && callersServer.isIdle && !peersServer.hasUnsentBytes;
 }
 
 function logProgress({core, callersServer, log}: PlannedStopDefinition): void {
