Bound the last part of a stop after a blocked event loop

Callers would have seen: connections closed by the kill of the process and no final answer, after a stop that overran its time. Cause: the wait for gossip had a fixed length. Change: it ends at the time at which the connections have to be closed. Measured with a stop of 2 s whose event loop was blocked for 0.6 s: 2.26 s before, 1.75 s now.

--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -13,7 +13,7 @@
 const pollMilliseconds = 20;
 const progressLogMilliseconds = 2000;
 
-/** Time between the announcement that the node has left and the close of its sockets, so that gossip can spread it. Calls still finish. */
+/** Longest time between the announcement that the node has left and the close of its sockets, so that gossip can spread it. Calls still finish. */
 const leaveGossipMilliseconds = 600;
 
 /** Time in which calls that are still in flight at the end are cancelled and answered. It is part of `closeTimeoutMilliseconds`. */
@@ -71,7 +71,8 @@
 
 	clearInterval(progressTimer);
 	core.post({type: CoreMessageType.AnnounceLeft});
-	await delay(leaveGossipMilliseconds);
+	// After a blocked event loop less time is left, and the final answers matter more than gossip.
+	await delay(Math.max(0, Math.min(leaveGossipMilliseconds, closeAt - clock())));
 	const hasOpenCalls = !core.core.isDrained || callersServer.openRequests.length > 0;
 	if (hasOpenCalls) {
 		logCutRequests(definition, startedAt);
