Judge a stop by the end of its work, not by what comes later

Operators saw exit code 1 and 'stopped with calls in flight: the time limit of the stop was reached' for stops that had finished their work after two of eight seconds.

Cause: the verdict was taken at the end of the announcement that the node has left. A request that was being refused at that moment counted as cut off, and a node that became ready in that time made the key ranges count as not handed over.

Change: a stop whose work has ended before the announcement is complete.

--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -70,10 +70,12 @@
 	}
 
 	clearInterval(progressTimer);
+	// What is refused from now on, or a node that could have taken key ranges over, does not make the stop incomplete.
+	const hasFinished = isFinished(definition);
 	core.post({type: CoreMessageType.AnnounceLeft});
 	// After a blocked event loop less time is left, and the final answers matter more than gossip.
 	await delay(Math.max(0, Math.min(leaveGossipMilliseconds, closeAt - clock())));
-	const hasOpenCalls = !core.core.isDrained || callersServer.openRequests.length > 0;
+	const hasOpenCalls = !hasFinished && (!core.core.isDrained || callersServer.openRequests.length > 0);
 	if (hasOpenCalls) {
 		logCutRequests(definition, startedAt);
 	}
@@ -85,7 +87,7 @@
 	}
 
 	await callersServer.stopListening(Math.min(clock() + pendingConnectionsMilliseconds, closeAt));
-	const hasSentAnswers = callersServer.isIdle && !peersServer.hasUnsentBytes;
+	const hasSentAnswers = hasFinished || (callersServer.isIdle && !peersServer.hasUnsentBytes);
 	await Promise.race([close(), delay(Math.min(closeTimeoutMilliseconds, startedAt + stopMilliseconds - clock()))]);
 	return hasSentAnswers && !hasOpenCalls;
 }
