Show a pipelined request that cuts off the answer before it

A stopping node closes each connection with the last answer on it. If the caller has sent one more request by then, or sends one before it has read the answer, the kernel resets the connection and drops what it has not sent yet.

--- a/packages/node/src/tests/late-requests.test.ts
+++ b/packages/node/src/tests/late-requests.test.ts
@@ -22,6 +22,9 @@
 /** More than the buffers of both ends of a connection hold. */
 const largeBytes = 16 * 1024 * 1024;
 
+/** Fits into the buffers of both ends of a connection, but not into that of the receiver alone. */
+const kernelBytes = 1024 * 1024;
+
 /** A caller's connection and all that it has received. */
 type Caller = {readonly socket: Socket; readonly closed: Promise<unknown>; readonly text: () => string};
 
@@ -222,3 +225,21 @@
 	t.equal(await stopped, true);
 	t.equal(caller.text().split('\r\n\r\n')[1]?.length, largeBytes);
 });
+
+test('a request behind an answer that closes its connection does not cut off the answer', async t => {
+	const {entry, receipts, responses, connect} = await startNodes(t);
+	const caller = await connect();
+	const firstReceived = once(receipts, 'first');
+	caller.socket.write(requestText('first'));
+	await firstReceived;
+	caller.socket.pause();
+	const stopped = entry.stop();
+	responses.get('first')!.end(Buffer.alloc(kernelBytes, 'x'));
+	await wait(lingerMilliseconds);
+	caller.socket.write(requestText('second'));
+	await wait(lingerMilliseconds);
+	caller.socket.resume();
+	await caller.closed;
+	t.equal(await stopped, true);
+	t.equal(caller.text().split('\r\n\r\n')[1]?.length, kernelBytes);
+});
