Read a connection to its end after its last answer

Callers saw: an answer that ends early, if a stopping node closed the connection with it and another request was sent behind it. Cause: the connection was destroyed once the answer was in the buffers of the kernel; with unread bytes that is a reset, which drops these buffers. Change: the connection is ended, and what arrives is read and ignored until the caller closes it, for at most 2 s. Measured: of an answer of 1 MiB 195,429 bytes arrived before and all of it now.

--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -36,6 +36,9 @@
 /** Longest turn of the event loop after which the check for new arrivals still holds. A turn without work takes far less. */
 const idleTurnMilliseconds = 1;
 
+/** Longest time for which a connection is read after the last answer on it. */
+const closingMilliseconds = 2000;
+
 /** Code of the parser error when a caller closes its connection in the middle of a request. */
 const incompleteRequestCode = 'HPE_INVALID_EOF_STATE';
 const reservedAnswerHeaders: ReadonlySet<string> = new Set([HeaderName.Outcome, HeaderName.Attempts]);
@@ -180,7 +183,9 @@
 	#handle(request: IncomingMessage, response: ServerResponse): void {
 		const url = request.url ?? '/';
 		const headerBytes = headerBytesOf(request, url);
-		if (headerBytes > this.#maximumHeaderBytes) {
+		if (this.#openRequests.isClosing(request.socket)) {
+			request.resume();
+		} else if (headerBytes > this.#maximumHeaderBytes) {
 			const detail = `The headers have ${headerBytes} bytes; at most ${this.#maximumHeaderBytes} are accepted`;
 			refuse(request, response, new LaburnumspoolError(ErrorKind.HeadersTooLarge, detail));
 		} else if (isNodePath(url)) {
@@ -299,6 +304,9 @@
 	#closeConnectionIfLast(entryId: number, {response, socket}: OpenRequest): void {
 		if ((this.#isStopping || this.#openRequests.isUnreadable(socket)) && this.#openRequests.closeWithAnswer(entryId, socket)) {
 			response.shouldKeepAlive = false;
+			if (!this.#openRequests.isUnreadable(socket)) {
+				readUntilClosed(socket);
+			}
 		}
 	}
 
@@ -331,6 +339,20 @@
 	}
 }
 
+/**
+ * Makes the last answer on a connection end it but not destroy it, so that what the caller has sent behind its last request
+ * is read. The kernel resets a connection that is closed with unread bytes, and drops the answer that it has not sent yet.
+ */
+function readUntilClosed(socket: Socket): void {
+	socket.destroySoon = () => {
+		socket.end();
+		const timer = setTimeout(() => socket.destroy(), closingMilliseconds);
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
+	};
+}
+
 function headerBytesOf(request: IncomingMessage, url: string): number {
 	return request.rawHeaders.reduce((sum, text) => sum + text.length, url.length + (request.rawHeaders.length / 2 * headerSeparatorBytes));
 }
