Hold back a download at its connection, not at the parser

A download whose caller read slowly paused the parser of undici. When the upstream ended or reset its connection during the pause, undici finished the paused parser. That throws an assertion error outside of any call, so the process of the node ended and with it all of its calls. An answer with a length that had arrived whole failed as broken.

The connection now refuses reads while it is held back, so that undici sees neither further bytes nor the end behind them, and its parser is never paused.

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -49,7 +49,7 @@
 	readonly timeoutMilliseconds: number;
 	/** Longest time for the whole exchange, also when chunks of the answer keep arriving. */
 	readonly totalMilliseconds: number;
-	/** Receives a large body while it arrives; without it every body is buffered. */
+	/** Receives a large body while it arrives; without it, or without watched connections, every body is buffered. */
 	readonly stream?: ExchangeStream;
 };
 
@@ -181,7 +181,7 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		if (this.#isStreamed || this.#startStream(controller, chunk)) {
+		if (this.#isStreamed || this.#startStream(chunk)) {
 			this.#connection?.countStreamed(chunk.length);
 			this.#stream!.push(chunk);
 			return;
@@ -197,6 +197,8 @@
 	}
 
 	onResponseEnd(): void {
+		// The connection carries further exchanges, and the body of this one may still be unread.
+		this.#connection?.resume();
 		this.#reportOnce({
 			success: true, status: this.#status, headers: this.#headers, body: this.#body.bytes, connection: this.#connection, isStreamed: this.#isStreamed,
 		});
@@ -207,24 +209,28 @@
 	}
 
 	/** Starts the stream, if there is one, with the chunk by which the body exceeds the buffer. */
-	#startStream(controller: Dispatcher.DispatchController, chunk: Buffer): boolean {
+	#startStream(chunk: Buffer): boolean {
 		const stream = this.#stream;
-		if (stream === undefined || this.#isStreamDecided || this.#body.length + chunk.length <= stream.bufferBytes) {
+		const connection = this.#connection;
+		if (stream === undefined || connection === undefined || this.#isStreamDecided || this.#body.length + chunk.length <= stream.bufferBytes) {
 			return false;
 		}
 
 		this.#isStreamDecided = true;
-		const head = {status: this.#status, headers: this.#headers, connection: this.#connection};
-		this.#isStreamed = stream.start(head, {
-			pause() {
-				controller.pause();
+		this.#isStreamed = stream.start({status: this.#status, headers: this.#headers, connection}, {
+			pause: () => {
+				if (!this.#isReported) {
+					connection.pause();
+				}
 			},
-			resume() {
-				controller.resume();
+			resume: () => {
+				if (!this.#isReported) {
+					connection.resume();
+				}
 			},
 		});
 		if (this.#isStreamed && this.#body.length > 0) {
-			this.#connection?.countStreamed(this.#body.length);
+			connection.countStreamed(this.#body.length);
 			stream.push(this.#body.bytes);
 			this.#body = new BodyBuffer();
 		}
--- a/packages/node/src/tests/raw-upstream.ts
+++ b/packages/node/src/tests/raw-upstream.ts
@@ -57,10 +57,11 @@
 	`HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
 
 type RequestParts = {readonly method?: string; readonly body?: Buffer};
-type ClientOptions = {readonly timeLeftMilliseconds?: number; readonly answerBytesLimit?: number; readonly sendsRequestId?: boolean};
+type ClientOptions = {readonly timeLeftMilliseconds?: number; readonly answerBytesLimit?: number; readonly sendsRequestId?: boolean; readonly canStream?: boolean};
 
 export type StartedClient = {
 	readonly core: CoreStub;
+	readonly streams: AnswerStreams;
 	readonly dispatch: (number: number, parts?: RequestParts) => void;
 	/** Sends a call and resolves with the summary of its result. */
 	readonly call: (number: number) => Promise<string>;
@@ -70,10 +71,11 @@
 
 /** Starts a client of an upstream that listens on the given port. */
 export function startClient(t: Test, port: number, options: ClientOptions = {}): StartedClient {
-	const {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000, sendsRequestId = true} = options;
+	const {timeLeftMilliseconds = 60_000, answerBytesLimit = 1000, sendsRequestId = true, canStream = false} = options;
 	const core = new CoreStub();
+	const streams = new AnswerStreams();
 	const client = new UpstreamClient({
-		core: core as unknown as CoreTask, streams: new AnswerStreams(), headers, log: silentLog,
+		core: core as unknown as CoreTask, streams, headers, log: silentLog,
 	});
 	t.teardown(async () => client.close());
 	core.apply({
@@ -94,12 +96,12 @@
 			tracestate: 's',
 			timeLeftMilliseconds,
 			answerBytesLimit,
-			canStream: false,
+			canStream,
 		});
 	};
 
 	return {
-		core, dispatch, async call(number) {
+		core, streams, dispatch, async call(number) {
 			dispatch(number);
 			return summarize(await core.nextMessage());
 		},
--- a/packages/node/src/watched-connections.ts
+++ b/packages/node/src/watched-connections.ts
@@ -22,9 +22,13 @@
 	#hasAbnormalEnd = false;
 	#answerCount = 0;
 	#streamedBytes = 0;
+	#isPaused = false;
+	/** Whether a read was refused while the connection was paused. */
+	#hasRefusedRead = false;
 
 	constructor(socket: Socket) {
 		this.#socket = socket;
+		socket.read = size => this.#read(size);
 		socket.on('end', () => {
 			this.#hasAbnormalEnd = Reflect.get(Socket.prototype, 'remoteAddress', socket) === undefined;
 		});
@@ -59,10 +63,42 @@
 		this.#answerCount += 1;
 	}
 
+	/**
+	 * Holds back all bytes that are not read yet, and the end that follows them. The parser of undici can be paused as well,
+	 * but throws when its connection ends during the pause.
+	 */
+	pause(): void {
+		this.#isPaused = true;
+	}
+
+	/** Undici is notified in a microtask, since its parsers must not be entered while one of them is running. */
+	resume(): void {
+		if (!this.#isPaused) {
+			return;
+		}
+
+		this.#isPaused = false;
+		queueMicrotask(() => {
+			if (this.#hasRefusedRead && !this.#isPaused && !this.#socket.destroyed) {
+				this.#hasRefusedRead = false;
+				this.#socket.emit('readable');
+			}
+		});
+	}
+
 	/** Destroys the connection, so that no other request is sent over it. */
 	close(): void {
 		this.#socket.destroy();
 	}
+
+	#read(size: number | undefined): unknown {
+		if (this.#isPaused) {
+			this.#hasRefusedRead = true;
+			return null;
+		}
+
+		return Socket.prototype.read.call(this.#socket, size);
+	}
 }
 
 /**
