Take an answer with status 304 that carries a length

A 304 has no body, but may carry the length of the body that it stands for. Undici compares that length with the bytes received and failed the exchange, so that the call failed as broken and its connection was lost. The exchange now ends with the head of a 304.

Measured: the three new tests of answer-ends.test.ts got broken instead of 304 before (282 passed, 3 failed), and pass now (285 passed).

--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -12,6 +12,9 @@
 /** A status line inside a head shows that the head was truncated and that the head of another answer follows. */
 const statusLine = /HTTP\/1\.\d \d{3}/u;
 
+/** An answer with this status has no body, but may carry the length of the body that it stands for. */
+const notModifiedStatus = 304;
+
 export enum ExchangeFailure {
 	/** The request was never sent. */
 	NotConnected = 'not-connected',
@@ -177,6 +180,9 @@
 		this.#headers = toHeaderPairs(headers);
 		if (statusLine.test(reason) || this.#headers.some(text => statusLine.test(text))) {
 			controller.abort(new Error('The head of the answer is truncated'));
+		} else if (status === notModifiedStatus) {
+			// Undici waits for no body either, but then fails the exchange if the head carries a length.
+			this.onResponseEnd();
 		}
 	}
 
--- a/packages/node/src/tests/answer-ends.test.ts
+++ b/packages/node/src/tests/answer-ends.test.ts
@@ -109,3 +109,19 @@
 	});
 	t.equal(summarize(await core.nextMessage()), '200 ');
 });
+
+for (const [name, line] of Object.entries({'keep-alive': '', 'connection: close': 'connection: close\r\n'})) {
+	test(`an answer with status 304 is complete without a body, whatever length it carries: ${name}`, async t => {
+		const {call} = await startUpstream(t, (requestId, socket) => {
+			socket.write(`HTTP/1.1 304 Not Modified\r\n${line}request-id: ${requestId}\r\netag: "a"\r\ncontent-length: 12\r\n\r\n`);
+		});
+		t.same([await call(1), await call(2), await call(3)], ['304 ', '304 ', '304 ']);
+	});
+}
+
+test('an answer with status 304 that is followed by a body does not affect the next call', async t => {
+	const {call} = await startUpstream(t, (requestId, socket) => {
+		socket.write(requestId === 'r2' ? completeAnswer(requestId, requestId) : `HTTP/1.1 304 Not Modified\r\nrequest-id: ${requestId}\r\ncontent-length: 2\r\n\r\nok`);
+	});
+	t.same([await call(1), await call(2), await call(3)], ['304 ', '200 r2', '304 ']);
+});
