Test answers of a store that are cut at every byte

A guard: no fault was found. A call to a store whose answer is cut at any byte of its head or body, with an end or a reset of the connection, fails with store-unavailable; the whole answer is read.

--- a/packages/manifest/src/tests/json-client.test.ts
+++ b/packages/manifest/src/tests/json-client.test.ts
@@ -25,6 +25,19 @@
 	});
 }
 
+/** A client of a store at the port. */
+function createClient(port: number): JsonClient {
+	return new JsonClient({
+		url: `http://127.0.0.1:${port}`,
+		maximumConnections: 1,
+		connectTimeoutMilliseconds: 1000,
+		answerTimeoutMilliseconds,
+		callTimeoutMilliseconds,
+		maximumAnswerBytes: 10_000,
+		parse: JSON.parse,
+	});
+}
+
 /**
  * Calls a store whose answer starts with `first` and then repeats `part` without end.
  * Returns the outcome of the call, whether the connection was closed in time, and whether the store sent less than 32 MiB.
@@ -45,15 +58,7 @@
 		});
 	}).listen(0, '127.0.0.1');
 	await once(server, 'listening');
-	const client = new JsonClient({
-		url: `http://127.0.0.1:${(server.address() as {port: number}).port}`,
-		maximumConnections: 1,
-		connectTimeoutMilliseconds: 1000,
-		answerTimeoutMilliseconds,
-		callTimeoutMilliseconds,
-		maximumAnswerBytes: 10_000,
-		parse: JSON.parse,
-	});
+	const client = createClient((server.address() as {port: number}).port);
 	t.teardown(async () => {
 		server.close();
 		await client.close();
@@ -77,3 +82,51 @@
 		t.same(await callEndlessStore(t, first, part, send), [ErrorKind.StoreUnavailable, 'closed', true]);
 	});
 }
+
+const document = '{"key":"a"}';
+
+const truncatedAnswers: Readonly<Record<string, readonly [string, string]>> = {
+	'with a length': [`${head}content-length: ${document.length}\r\n\r\n`, document],
+	'with a length and connection: close': [`HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: ${document.length}\r\n\r\n`, document],
+	'in chunks, with connection: close': ['HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n', `${document.length.toString(16)}\r\n${document}\r\n0\r\n\r\n`],
+	'without a length': [`${head}\r\n`, document],
+};
+
+const ends: Readonly<Record<string, (socket: Socket, bytes: string) => void>> = {
+	'an end'(socket, bytes) {
+		socket.end(bytes);
+	},
+	'a reset'(socket, bytes) {
+		socket.write(bytes);
+		socket.resetAndDestroy();
+	},
+};
+
+for (const [name, [truncatedHead, body]] of Object.entries(truncatedAnswers)) {
+	test(`a call fails with store-unavailable wherever the answer of the store is cut, and the whole answer is read: ${name}`, async t => {
+		const bytes = truncatedHead + body;
+		for (const [endName, end] of Object.entries(ends)) {
+			let length = 0;
+			const server = createServer(socket => {
+				socket.on('error', doNothing);
+				socket.once('data', () => {
+					end(socket, bytes.slice(0, length));
+				});
+			}).listen(0, '127.0.0.1');
+			await once(server, 'listening');
+			const client = createClient((server.address() as {port: number}).port);
+			const results = new Set<unknown>();
+			for (; length < bytes.length; length++) {
+				results.add(await client.send({method: 'GET', path: '/x'}).then(({status}) => status, (error: unknown) => (error as {kind: ErrorKind}).kind));
+			}
+
+			t.same([...results], [ErrorKind.StoreUnavailable], endName);
+			if (endName === 'an end') {
+				t.same(await client.send({method: 'GET', path: '/x'}), {status: 200, body: JSON.parse(document) as unknown});
+			}
+
+			await client.close();
+			server.close();
+		}
+	});
+}
