--- a/demo/src/soak-clients.ts
+++ b/demo/src/soak-clients.ts
@@ -50,8 +50,9 @@
 
 const defaultTimeoutMilliseconds = 8000;
 const defaultConnections = 64;
-const noAnswer = {
-	status: undefined, outcome: undefined, signature: undefined, answeredId: undefined, body: '',
+/** Fields of a result without an answer, except its failure. */
+export const noAnswer = {
+	status: undefined, outcome: undefined, signature: undefined, answeredId: undefined, body: '', failure: undefined,
 };
 
 /**
--- a/demo/src/soak-kinds.ts
+++ b/demo/src/soak-kinds.ts
@@ -14,6 +14,11 @@
 const receiptBytes = 1500;
 const windowBytes = 900;
 const versionBytes = 100;
+const slowMilliseconds = [1000, 2000, 3000];
+const slowWaitMilliseconds = 5000;
+/** More than the time limit of a stop. */
+const longMilliseconds = 9000;
+const longWaitMilliseconds = 10_000;
 
 /** A kind of request that callers send. */
 export type SoakKind = {
@@ -42,6 +47,12 @@
 	service: 'deliveries', method: 'GET', path: '/windows', isKeyed: false, bodyBytes: windowBytes, version: 1,
 };
 
+/** Kinds whose calls are in flight when a stop begins, and end within its time limit. */
+export const slowKinds: readonly SoakKind[] = slowMilliseconds.map(milliseconds => ({...windows, path: `/slow/${milliseconds}`}));
+
+/** A kind whose call outlasts the time limit of a stop. */
+export const longKind: SoakKind = {...windows, path: '/long'};
+
 /** Returns a kind that the manifest contains from this version on. */
 export function kindOfVersion(version: number): SoakKind {
 	return {
@@ -49,6 +60,11 @@
 	};
 }
 
+/** Settings of the nodes that the checks refer to. */
+export const lingerMilliseconds = 500;
+/** Less than the 10 seconds after which `stopProcess` kills a process. */
+export const stopSeconds = 8;
+
 /** Retries that the manifest allows for one customer action over the whole call chain. */
 export const {retriesPerAction} = parse(readFileSync(baseManifestFile, 'utf8')) as {readonly retriesPerAction: number};
 
@@ -65,6 +81,8 @@
 		service: 'deliveries', slots: 8, connections: 40, behaviours: [
 			{prefix: windows.path, milliseconds: 5, bodyBytes: windowBytes},
 			{prefix: '/versions', milliseconds: 2, bodyBytes: versionBytes},
+			{prefix: longKind.path, milliseconds: longMilliseconds, bodyBytes: windowBytes},
+			...slowKinds.map(({path}, index) => ({prefix: path, milliseconds: slowMilliseconds[index]!, bodyBytes: windowBytes})),
 		],
 	},
 ];
@@ -76,11 +94,16 @@
 /** Writes a version of the manifest into a folder and returns the file; it contains the kinds of all earlier versions. */
 export function writeManifest(folder: string, version: number): string {
 	const document = parse(readFileSync(baseManifestFile, 'utf8')) as Document;
-	const versions = Array.from({length: version}, (_, index) => ({
-		kind: `version-${index + 1}`, methods: ['GET'], path: kindOfVersion(index + 1).path, importance: 'normal', semantics: 'idempotent', waitMilliseconds: 1000,
+	const added = [
+		...Array.from({length: version}, (_, index) => ({kind: `version-${index + 1}`, path: kindOfVersion(index + 1).path, waitMilliseconds: 1000})),
+		{kind: 'slow', path: '/slow*', waitMilliseconds: slowWaitMilliseconds},
+		{kind: 'long', path: longKind.path, waitMilliseconds: longWaitMilliseconds},
+	];
+	const requests = added.map(request => ({
+		...request, methods: ['GET'], importance: 'normal', semantics: 'idempotent',
 	}));
 	const {deliveries} = document.services;
 	const file = join(folder, `version-${version}.yaml`);
-	writeFileSync(file, stringify({...document, services: {...document.services, deliveries: {...deliveries, requests: [...deliveries!.requests, ...versions]}}}));
+	writeFileSync(file, stringify({...document, services: {...document.services, deliveries: {...deliveries, requests: [...deliveries!.requests, ...requests]}}}));
 	return file;
 }
--- a/demo/src/soak.ts
+++ b/demo/src/soak.ts
@@ -16,7 +16,7 @@
 import {SoakCallers, SoakPhase, type SoakResult} from './soak-clients.js';
 import {SoakDisruptions} from './soak-disruptions.js';
 import {
-	kindOfVersion, payment, receipt, retriesPerAction, services, windows, writeManifest, type SoakKind,
+	kindOfVersion, lingerMilliseconds, payment, receipt, retriesPerAction, services, stopSeconds, windows, writeManifest, type SoakKind,
 } from './soak-kinds.js';
 import {planDisruptions, type Disruption} from './soak-plan.js';
 import {startSystem, type Instance, type System} from './system.js';
@@ -43,10 +43,9 @@
 const storeSettings = {leaseSeconds: 2, workWithoutSeconds: 3};
 const settings = {
 	clockErrorMilliseconds: 100,
-	lingerMilliseconds: 500,
+	lingerMilliseconds,
 	logFormat: 'json',
-	// Less than the 10 seconds after which `stopProcess` kills a process.
-	stopSeconds: 8,
+	stopSeconds,
 	membership: {probeMilliseconds: 200, suspicionMilliseconds: 600},
 	headers: {requestId: 'x-request-id', signature: 'x-signature'},
 };
