Check that a stopping node refuses, listens and keeps its limit

Change, by check: - A new check reports a request that was passed on although it was sent to a stopping node after the linger time and the longest stall. - A refused connection is only allowed in the last second of a planned stop and until the node is ready again; before, at any time of the stop. - A request without an answer behind one that announced the close of the connection is allowed at a planned stop, if it ran nowhere. RFC 9112, section 9.6, has its caller take it as not processed. Until now no caller of the soak sent such a request. - A planned stop that takes longer than its limit and the longest stall is reported; before, only one that was killed after 10 s. - Exit code 1 is allowed if a call of 9 s was in flight from the start of the stop to its last second, at the node or its upstream. No plan had such a call before; without one, 0 is required as before.

--- a/demo/src/soak-checks.ts
+++ b/demo/src/soak-checks.ts
@@ -4,7 +4,10 @@
  * @module
  */
 import {SoakPhase, type SoakResult} from './soak-clients.js';
-import {payment, receipt} from './soak-kinds.js';
+import {
+	lingerMilliseconds, longKind, payment, receipt, stopSeconds,
+} from './soak-kinds.js';
+import {behindClosingAnswer} from './soak-pipelines.js';
 import {DisruptionType} from './soak-plan.js';
 
 /** A stop, a kill or a freeze of a node's process; times as of `performance.now()`. */
@@ -54,6 +57,8 @@
 const maximumStallMilliseconds = 1000;
 /** Connections end with their process, and callers are notified of that a little later. */
 const disconnectNoticeMilliseconds = 300;
+/** A stop announces that the node has left and closes its connections in the last second of its time limit. */
+const stopClosingMilliseconds = 1000;
 const adoptionLimitMilliseconds = 2500;
 /** Time after which an upstream that announced that it drains must not receive new calls. */
 export const drainGraceMilliseconds = 2500;
@@ -70,6 +75,7 @@
 	Answered = 'every request that was read is answered',
 	InForce = 'an accepted version is in force everywhere, and never falls back',
 	PlannedStop = 'planned stops harm nothing and end well',
+	Intake = 'a stopping node passes on nothing new',
 	Importance = 'payments are refused only after less important work',
 	Departure = 'a leaving upstream gets nothing new',
 	Memory = 'the memory of the nodes is bounded',
@@ -90,6 +96,7 @@
 	[Check.Answered, checkAnswered],
 	[Check.InForce, checkManifestActive],
 	[Check.PlannedStop, checkPlannedStop],
+	[Check.Intake, checkIntake],
 ];
 
 const recordChecks: ReadonlyArray<readonly [Check, (record: SoakRecord) => string[]]> = [
@@ -151,8 +158,9 @@
 }
 
 /**
- * Every request gets an answer, unless the node's process was killed or not listening, or the connection was closed before
- * the node read the request.
+ * Every request gets an answer, unless the node's process was killed or not listening, the connection was closed before the
+ * node read the request, or a stopping node announced with an earlier answer that it closes the connection. A stopping node
+ * listens until it closes its connections.
  */
 function checkAnswered(result: SoakResult, runs: number, {nodeDisruptions, results}: SoakRecord): string[] {
 	const {id, entry, status, failure} = result;
@@ -162,9 +170,11 @@
 
 	const ownDisruptions = nodeDisruptions.filter(disruption => disruption.entry === entry && result.sentAt <= disruption.readyAt && result.endedAt >= disruption.startedAt);
 	const wasKilled = ownDisruptions.some(({type, endedAt}) => type === DisruptionType.Kill && result.sentAt <= endedAt + disconnectNoticeMilliseconds);
-	const wasNotListening = failure === 'ECONNREFUSED' && ownDisruptions.some(({type}) => type !== DisruptionType.Freeze);
+	const wasNotListening = failure === 'ECONNREFUSED' && ownDisruptions.some(({type, endedAt}) =>
+		type === DisruptionType.Kill || (type === DisruptionType.Stop && result.endedAt >= endedAt - stopClosingMilliseconds - maximumStallMilliseconds));
 	const hasRunHere = runs > 0 && !results.some(other => other.id === id && other !== result);
-	if (wasKilled || wasNotListening || (!hasRunHere && failure !== 'ECONNREFUSED' && wasClosedBeforeRead(result, ownDisruptions, results))) {
+	const wasBehindClosingAnswer = failure === behindClosingAnswer && runs === 0 && ownDisruptions.some(({type}) => type === DisruptionType.Stop);
+	if (wasKilled || wasNotListening || wasBehindClosingAnswer || (!hasRunHere && failure !== 'ECONNREFUSED' && wasClosedBeforeRead(result, ownDisruptions, results))) {
 		return [];
 	}
 
@@ -217,9 +227,31 @@
 	return hasFailed ? [`${id} at ${entry} failed during a planned stop: status ${status}, outcome ${outcome}, ${body.slice(0, 300)}`] : [];
 }
 
-function findFailedStops({nodeDisruptions}: SoakRecord): string[] {
-	const failedStops = nodeDisruptions.filter(({type, code}) => type === DisruptionType.Stop && code !== 0);
-	return failedStops.map(({entry, code}) => `the planned stop of ${entry} ended with exit code ${code}, expected 0`);
+/** After the linger time, a stopping node refuses the requests that it receives, and finishes those that it received before. */
+function checkIntake({id, entry, writtenAt, outcome}: SoakResult, runs: number, {nodeDisruptions, results}: SoakRecord): string[] {
+	const stop = nodeDisruptions.find(({type, entry: stoppedEntry, startedAt, endedAt}) => type === DisruptionType.Stop && stoppedEntry === entry && writtenAt !== undefined
+		&& writtenAt > startedAt + lingerMilliseconds + maximumStallMilliseconds && writtenAt < endedAt);
+	const hasRunHere = outcome === 'ran' || (runs > 0 && results.filter(other => other.id === id).length === 1);
+	return stop !== undefined && hasRunHere ? [`${id} was passed on by ${entry}, although it was sent ${Math.round(writtenAt! - stop.startedAt)} ms after the start of a planned stop`] : [];
+}
+
+/** A stop ends well within its time limit. Only a call that outlasts the limit lets it end with exit code 1. */
+function findFailedStops(record: SoakRecord): string[] {
+	const stops = record.nodeDisruptions.filter(({type}) => type === DisruptionType.Stop);
+	const expectedCode = (stop: NodeDisruption): number => stop.code === 1 && hasOutlastingCall(stop, record) ? 1 : 0;
+	const limitMilliseconds = stopSeconds * 1000;
+	return [
+		...stops.filter(stop => stop.code !== expectedCode(stop)).map(({entry, code}) => `the planned stop of ${entry} ended with exit code ${code}, expected 0`),
+		...stops.filter(({startedAt, endedAt}) => endedAt - startedAt > limitMilliseconds + maximumStallMilliseconds).map(({entry, startedAt, endedAt}) =>
+			`the planned stop of ${entry} took ${Math.round(endedAt - startedAt)} ms, expected at most ${limitMilliseconds}`),
+	];
+}
+
+/** Whether a long call, received by the node or run by its upstream, was in flight when the stop began and until its last second. */
+function hasOutlastingCall({entry, startedAt}: NodeDisruption, {results, instanceRuns}: SoakRecord): boolean {
+	const closingAt = startedAt + (stopSeconds * 1000) - stopClosingMilliseconds;
+	return results.some(({id, kind, entry: receiver, sentAt, endedAt}) => kind.path === longKind.path && sentAt <= startedAt + lingerMilliseconds && endedAt >= closingAt
+		&& (receiver === entry || instanceRuns.get(entry)?.has(id)));
 }
 
 function findExcessMemory({memory}: SoakRecord): string[] {
--- a/demo/src/tests/soak-checks.test.ts
+++ b/demo/src/tests/soak-checks.test.ts
@@ -2,8 +2,9 @@
 import {Check, findViolations, type SoakRecord} from '../soak-checks.js';
 import {SoakPhase, type SoakResult} from '../soak-clients.js';
 import {
-	kindOfVersion, payment, receipt, windows, type SoakKind,
+	kindOfVersion, lingerMilliseconds, longKind, payment, receipt, slowKinds, stopSeconds, windows, type SoakKind,
 } from '../soak-kinds.js';
+import {behindClosingAnswer} from '../soak-pipelines.js';
 import {DisruptionType, planDisruptions} from '../soak-plan.js';
 
 function completeBody(id: string, {service, bodyBytes}: SoakKind): string {
@@ -120,6 +121,36 @@
 	t.same(checksOf({results: [unanswered('a', payment, {endedAt: 1400})], runs: new Map([['deposits/a', 1]]), nodeDisruptions: [{...stop, type: DisruptionType.Kill}]}), []);
 });
 
+test('a request behind an answer that closes the connection is reported if it ran, or if the node was not stopping', async t => {
+	const behind = unanswered('a', windows, {endedAt: 1400, failure: behindClosingAnswer});
+	const others = served('b', windows, {endedAt: 1050});
+	t.same(checksOf({results: [behind, others], nodeDisruptions: [stop]}), [], 'the node did not pass it on');
+	t.same(checksOf({results: [behind, others], runs: new Map([['deliveries/a', 1]]), nodeDisruptions: [stop]}), [Check.Answered]);
+	t.same(checksOf({results: [behind, others]}), [Check.Answered]);
+	t.same(checksOf({results: [{...behind, failure: 'ECONNRESET'}, others], nodeDisruptions: [stop]}), [Check.Answered], 'no earlier answer announced the close');
+});
+
+test('a stopping node that no longer listens is reported', async t => {
+	const longStop = {...stop, endedAt: 7900, readyAt: 9000};
+	const notListened = (endedAt: number): SoakResult => unanswered('a', windows, {
+		sentAt: endedAt - 1, endedAt, failure: 'ECONNREFUSED', isReused: false,
+	});
+	t.same(checksOf({results: [notListened(5800)], nodeDisruptions: [longStop]}), [Check.Answered]);
+	t.same(checksOf({results: [notListened(7900)], nodeDisruptions: [longStop]}), []);
+	t.same(checksOf({results: [notListened(8500)], nodeDisruptions: [longStop]}), []);
+});
+
+test('a request that a stopping node passes on after the linger time is reported', async t => {
+	const longStop = {...stop, endedAt: 7900, readyAt: 9000};
+	const late = {sentAt: 4900, writtenAt: 4901, endedAt: 4950};
+	t.same(checksOf({results: [served('a', windows, late)], nodeDisruptions: [longStop]}), [Check.Intake]);
+	const unknown = refused('a', windows, {...late, status: 504, outcome: 'unknown'});
+	t.same(checksOf({results: [unknown], runs: new Map([['deliveries/a', 1]]), nodeDisruptions: [longStop]}), [Check.Intake]);
+	t.same(checksOf({results: [refused('a', windows, late)], nodeDisruptions: [longStop]}), []);
+	const lingerEnd = stop.startedAt + lingerMilliseconds;
+	t.same(checksOf({results: [served('a', windows, {...late, sentAt: lingerEnd, writtenAt: lingerEnd})], nodeDisruptions: [longStop]}), [], 'it was sent before the end of the linger time');
+});
+
 test('a version that becomes active late or is lost again is reported', async t => {
 	const versions = [{version: 1, acceptedAt: 0}, {version: 2, acceptedAt: 3000}];
 	const unknown = (sentAt: number): SoakResult => refused('a', kindOfVersion(2), {sentAt, endedAt: sentAt + 5, status: 404});
@@ -141,6 +172,21 @@
 	t.same(checksOf({results: [notReady], nodeDisruptions: [stop]}), [], 'the node was just starting');
 });
 
+test('a planned stop that exceeds its limit is reported, and one that a call outlasts may end with exit code 1', async t => {
+	const limitMilliseconds = stopSeconds * 1000;
+	const atLimit = {...stop, endedAt: stop.startedAt + limitMilliseconds, code: 1};
+	const outlasting = refused('a', longKind, {
+		sentAt: stop.startedAt - 100, writtenAt: stop.startedAt - 100, endedAt: atLimit.endedAt - 500, status: 504, outcome: 'unknown',
+	});
+	t.same(checksOf({results: [outlasting], nodeDisruptions: [atLimit]}), []);
+	t.same(checksOf({results: [{...outlasting, entry: 'deposits-1'}], instanceRuns: new Map([['deposits-0', new Set(['a'])]]), nodeDisruptions: [atLimit]}), [], 'the call ran beside the node');
+	t.same(checksOf({results: [{...outlasting, entry: 'deposits-1'}], nodeDisruptions: [atLimit]}), [Check.PlannedStop], 'the call was at another node');
+	t.same(checksOf({results: [{...outlasting, kind: slowKinds[0]!}], nodeDisruptions: [atLimit]}), [Check.PlannedStop], 'the call does not outlast the stop');
+	t.same(checksOf({results: [{...outlasting, endedAt: atLimit.endedAt - 2000}], nodeDisruptions: [atLimit]}), [Check.PlannedStop], 'the call ended early');
+	t.same(checksOf({results: [outlasting], nodeDisruptions: [{...atLimit, code: null}]}), [Check.PlannedStop], 'a signal ended the process');
+	t.same(checksOf({nodeDisruptions: [{...stop, endedAt: stop.startedAt + limitMilliseconds + 1100}]}), [Check.PlannedStop]);
+});
+
 test('a payment that is refused while less important work runs is reported', async t => {
 	const results = [refused('a', payment, {phase: SoakPhase.Burst}), served('b', receipt, {phase: SoakPhase.Burst, sentAt: 1010, endedAt: 1040})];
 	t.same(checksOf({results, instanceRuns: new Map([['deposits-1', new Set(['b'])]])}), [Check.Importance]);
