Stop nodes in series, twice and under slow calls in the soak

Cause: the soak stops one node at a time, with one signal and with short calls in flight, and none of its callers keeps a connection to the end of a stop.

Change: three types of disruption, a second signal (SIGTERM, SIGINT or SIGHUP) to a stopping node, a stop under a call that outlasts it, and three nodes stopped one soon after the other.

--- a/demo/src/soak-disruptions.ts
+++ b/demo/src/soak-disruptions.ts
@@ -13,7 +13,9 @@
 import {
 	drainGraceMilliseconds, type AcceptedVersion, type UpstreamDrain, type SoakRecord, type NodeDisruption,
 } from './soak-checks.js';
+import {SoakPhase, type SoakResult} from './soak-clients.js';
 import {services, writeManifest} from './soak-kinds.js';
+import {attendStop} from './soak-pipelines.js';
 import {DisruptionType, type Disruption} from './soak-plan.js';
 import {startNode, type Instance, type System} from './system.js';
 
@@ -26,6 +28,10 @@
 const watchMilliseconds = 1500;
 const kilobytesPerMegabyte = 1024;
 const outcomeUnknownExitCode = 4;
+const nodesInSeries = 3;
+
+/** How a node is stopped; the signal is sent as a second one after the duration. */
+type PlannedStop = {readonly isLong?: boolean; readonly signal?: NodeJS.Signals; readonly milliseconds?: number};
 
 type ControlBody = Readonly<Record<string, unknown>>;
 
@@ -38,6 +44,8 @@
  */
 export class SoakDisruptions {
 	readonly nodeDisruptions: NodeDisruption[] = [];
+	/** Results of the callers whose connections were open when a node was stopped. */
+	readonly results: SoakResult[] = [];
 	readonly versions: AcceptedVersion[] = [{version: 1, acceptedAt: 0}];
 	readonly storeOutages: Array<{startedAt: number; endedAt: number}> = [];
 	readonly drains: UpstreamDrain[] = [];
@@ -74,9 +82,12 @@
 	}
 
 	async carryOut(disruption: Disruption): Promise<void> {
-		const {milliseconds, target, fault, type} = disruption;
+		const {milliseconds, target, fault, type, signal} = disruption;
 		const handlers: Readonly<Record<DisruptionType, () => Promise<void>>> = {
-			[DisruptionType.Stop]: async () => this.#disruptNodeAt(target, type, async ({node}) => stopProcess(node)),
+			[DisruptionType.Stop]: async () => this.#stopNodeAt(target),
+			[DisruptionType.StopTwice]: async () => this.#stopNodeAt(target, {signal, milliseconds}),
+			[DisruptionType.LongStop]: async () => this.#stopNodeAt(target, {isLong: true}),
+			[DisruptionType.StopSeries]: async () => this.#stopSeries(target, milliseconds / nodesInSeries),
 			[DisruptionType.Kill]: async () => this.#disruptNodeAt(target, type, async ({node}) => stopProcess(node, 'SIGKILL')),
 			[DisruptionType.Freeze]: async () => this.#disruptNodeAt(target, type, async ({node}) => {
 				node.child.kill('SIGSTOP');
@@ -98,7 +109,7 @@
 
 	/** Stops a node as planned and starts it again; resolves when it is ready. */
 	async restartNode(instance: Instance): Promise<void> {
-		await this.#disruptNode(instance, DisruptionType.Stop, async ({node}) => stopProcess(node));
+		await this.#stopNode(instance, SoakPhase.RollingRestart, {});
 	}
 
 	/** Records the peak resident memory of the running processes. */
@@ -111,6 +122,36 @@
 		return this.memory.push({entry: name, megabytes: Number(/^VmHWM:\s+(\d+) kB$/mu.exec(status)?.[1]) / kilobytesPerMegabyte});
 	}
 
+	/** Does nothing when the node is already disrupted. */
+	async #stopNodeAt(target: number, stop: PlannedStop = {}): Promise<void> {
+		const instance = this.#pick(target);
+		if (!this.#disrupted.has(instance)) {
+			await this.#stopNode(instance, SoakPhase.Faults, stop);
+		}
+	}
+
+	async #stopSeries(target: number, gapMilliseconds: number): Promise<void> {
+		await Promise.all(Array.from({length: nodesInSeries}, async (_, index) => {
+			await delay(index * gapMilliseconds);
+			await this.#stopNodeAt((target + (index / this.#system.instances.length)) % 1);
+		}));
+	}
+
+	async #stopNode(instance: Instance, phase: SoakPhase, {isLong = false, signal, milliseconds = 0}: PlannedStop): Promise<void> {
+		this.#disrupted.add(instance);
+		const {ended} = await attendStop(instance, phase, isLong);
+		await this.#disruptNode(instance, DisruptionType.Stop, async ({node}) => {
+			const stopped = stopProcess(node);
+			if (signal !== undefined) {
+				await delay(milliseconds);
+				node.child.kill(signal);
+			}
+
+			return stopped;
+		});
+		this.results.push(...await ended);
+	}
+
 	/** Does nothing when the node is already disrupted. */
 	async #disruptNodeAt(target: number, type: DisruptionType, action: (instance: Instance) => Promise<number | null>): Promise<void> {
 		const instance = this.#pick(target);
--- a/demo/src/soak-plan.ts
+++ b/demo/src/soak-plan.ts
@@ -9,6 +9,12 @@
 export enum DisruptionType {
 	/** Stops a node as planned and starts it again. */
 	Stop = 'stop',
+	/** Stops a node as planned, which gets a second signal while it stops, and starts it again. */
+	StopTwice = 'stop-twice',
+	/** Stops a node as planned while a call is in flight that outlasts the time limit of the stop, and starts it again. */
+	LongStop = 'stop-long',
+	/** Stops several nodes as planned, one soon after the other, and starts them again. */
+	StopSeries = 'stop-series',
 	/** Kills a node's process and starts it again. */
 	Kill = 'kill',
 	/** Suspends a node's process for the duration. */
@@ -37,12 +43,15 @@
 	readonly target: number;
 	/** Fault of the upstreams, used by `DisruptionType.FaultyAnswers`. */
 	readonly fault: UpstreamFault;
+	/** Second signal, used by `DisruptionType.StopTwice`. */
+	readonly signal: NodeJS.Signals;
 };
 
 const maximumGapMilliseconds = 900;
 const minimumDurationMilliseconds = 200;
 const maximumDurationMilliseconds = 1500;
 const types = Object.values(DisruptionType);
+const signals: readonly NodeJS.Signals[] = ['SIGTERM', 'SIGINT', 'SIGHUP'];
 const faults = [
 	UpstreamFault.ResetBefore,
 	UpstreamFault.ResetAfter,
@@ -72,6 +81,7 @@
 			milliseconds: minimumDurationMilliseconds + (random() * (maximumDurationMilliseconds - minimumDurationMilliseconds)),
 			target: random(),
 			fault: pick(faults),
+			signal: pick(signals),
 		});
 		at += random() * maximumGapMilliseconds;
 	}
--- a/demo/src/soak.ts
+++ b/demo/src/soak.ts
@@ -132,7 +132,7 @@
 		await delay(settleMilliseconds);
 		this.#disruptions.recordMemory();
 		const {record, failedShipments} = this.#disruptions;
-		const results = [...this.#callers.values()].flatMap(callers => callers.results);
+		const results = [...[...this.#callers.values()].flatMap(callers => callers.results), ...this.#disruptions.results];
 		const violations = findViolations({
 			...record, ...await this.#readRuns(), results, retriesPerAction,
 		});
