Reserve a block of free ports for each process

Cause: processes whose ids are equal modulo 200 searched the same block of ports, found the same ones free, and one of them failed with EADDRINUSE.

Change: a process listens on the lock port of its block as long as it runs, and takes the next block that is not reserved.

--- a/standins/loopback/src/free-ports.ts
+++ b/standins/loopback/src/free-ports.ts
@@ -12,13 +12,17 @@
 const firstPort = 10_000;
 const portsPerBlock = 100;
 const blockCount = 200;
+
+/** Lock port of the first block. They follow the last block. */
+const firstLockPort = firstPort + (blockCount * portsPerBlock);
 let lastOffset = -1;
+let reservedBlock: Promise<number> | undefined;
 
 /**
  * Returns ports on 127.0.0.1 that no socket listens on.
  *
- * Each process searches one block of ports, chosen by its process id, so that concurrent processes do not get the same port
- * unless their ids are equal modulo the number of blocks. The search resumes after the last port tried: a port is not
+ * Each process reserves one block of ports and searches only that, so that concurrent processes do not get the same port. The
+ * search resumes after the last port tried: a port is not
  * returned again until the whole block has been tried.
  *
  * @throws When the block has fewer free ports than requested.
@@ -27,6 +31,8 @@
  * const [callers, peers] = await findFreePorts(2);
  */
 export async function findFreePorts(count: number): Promise<number[]> {
+	reservedBlock ??= reserveBlock(process.pid % blockCount, blockCount);
+	const block = await reservedBlock;
 	const ports: number[] = [];
 	for (let attempts = 0; ports.length < count; attempts += 1) {
 		if (attempts === portsPerBlock) {
@@ -34,7 +40,7 @@
 		}
 
 		lastOffset = (lastOffset + 1) % portsPerBlock;
-		const port = firstPort + ((process.pid % blockCount) * portsPerBlock) + lastOffset;
+		const port = firstPort + (block * portsPerBlock) + lastOffset;
 		if (await isFree(port)) { // eslint-disable-line no-await-in-loop
 			ports.push(port);
 		}
@@ -43,6 +49,24 @@
 	return ports;
 }
 
+/** Listens on the lock port of the first block from `block` on that no other process holds, for as long as this process runs. */
+async function reserveBlock(block: number, blocksLeft: number): Promise<number> {
+	if (blocksLeft === 0) {
+		throw new Error(`All ${blockCount} blocks of ports are reserved by other processes`);
+	}
+
+	const server = createServer();
+	server.listen(firstLockPort + block, '127.0.0.1');
+	try {
+		await once(server, 'listening');
+	} catch {
+		return reserveBlock((block + 1) % blockCount, blocksLeft - 1);
+	}
+
+	server.unref();
+	return block;
+}
+
 async function isFree(port: number): Promise<boolean> {
 	const server = createServer();
 	server.listen(port, '127.0.0.1');
