Show a nested call of a cancelled call that gets no answer

When a running call is cancelled, the calls that the upstream makes for it are cancelled as if their caller were gone. An upstream that keeps the connection of such a call open got no answer on it, at any time; the request counted as open until the connection closed, and a planned stop waited for it until its time limit.

--- a/packages/core/src/tests/node-core.test.ts
+++ b/packages/core/src/tests/node-core.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'tap';
 import {
-	allAdmissionMechanisms, AnnouncedState, ErrorKind, EventType, Importance, NodeCore, NodeEffectType, Outcome, priorityOf, safeParseManifest, Semantics, UpstreamState,
+	allAdmissionMechanisms, AnnouncedState, CancelResult, ErrorKind, EventType, Importance, NodeCore, NodeEffectType, Outcome, priorityOf, safeParseManifest, Semantics, UpstreamFailure, UpstreamState,
 	type CallerRequest, type Manifest, type NodeDefinition, type NodeEffect,
 } from '../index.js';
 import {createMember} from './fixtures.js';
@@ -139,3 +139,14 @@
 	node.refuseNewRequests();
 	t.match(callEffects(node.callerRequested(createRequest(1, 'late', 'key'), 30)), [leavingAnswer(1)]);
 });
+
+test('a nested call of a cancelled call is answered, since its caller may keep its connection open', async t => {
+	const node = startServingNode();
+	node.startDraining(20);
+	t.match(callEffects(node.callerRequested(createRequest(1, 'parent.1'), 30)), [{type: NodeEffectType.SendCall, frame: {callId: 'p.1.1'}}]);
+	const {effects} = node.cancelArrived('n.1.1', 40);
+	const later = node.cancelReplied('p.1.1', CancelResult.Dispatched, 50);
+	t.match(callEffects([...effects, ...later]), [{type: NodeEffectType.AnswerCaller, entryId: 1, answer: {outcome: Outcome.Unknown}}]);
+	node.upstreamFailed('n.1.1', UpstreamFailure.Cancelled, 60);
+	t.equal(node.openCalls, 0);
+});
