Answer the nested calls of a cancelled call

Callers saw, if they are an upstream whose running work was cancelled: no answer to the calls that it had made for it, while it kept their connections open. Cause: such calls ended as if their caller had closed its connection. Change: they end as at their deadline: 503 if they were not run, else 504, and do not count against the upstream that ran them.

--- a/packages/core/src/entry/entry-call.ts
+++ b/packages/core/src/entry/entry-call.ts
@@ -103,6 +103,13 @@
 	Cancelling = 'cancelling',
 }
 
+/** What ends a call that is not answered, as callers read it. */
+export enum CallEnd {
+	Deadline = 'the deadline',
+	ParentCancelled = 'its parent call was cancelled',
+	Stop = 'the node stopped',
+}
+
 /** State of one call. */
 export type EntryState = {
 	readonly request: EntryRequest;
@@ -123,8 +130,8 @@
 	isCallerGone: boolean;
 	/** Whether the caller has received the head of the answer, so that the call cannot be sent again. */
 	hasStartedAnswer: boolean;
-	/** Whether the call ends because the node stops, before its deadline. */
-	isEndedByStop: boolean;
+	/** What ends the call before it is answered. */
+	end: CallEnd;
 	/** Time until which the reply to the cancellation is awaited. */
 	cancelDeadline: number;
 	/** Earliest time of the next lookup of the destination. */
--- a/packages/core/src/entry/entry-coordinator.ts
+++ b/packages/core/src/entry/entry-coordinator.ts
@@ -14,7 +14,7 @@
 } from '../messages.js';
 import {AttemptLimits} from './attempt-limits.js';
 import {
-	EntryEffectType, EntryPhase, LocateResultType, type Destination, type EntryEffect, type EntryRequest, type EntryState, type SentCall,
+	CallEnd, EntryEffectType, EntryPhase, LocateResultType, type Destination, type EntryEffect, type EntryRequest, type EntryState, type SentCall,
 } from './entry-call.js';
 import {SendFailure, type EntryDefinition} from './entry-definition.js';
 
@@ -74,7 +74,7 @@
 			hasTriedLastResort: false,
 			isCallerGone: false,
 			hasStartedAnswer: false,
-			isEndedByStop: false,
+			end: CallEnd.Deadline,
 			cancelDeadline: 0,
 			nextLocateAt: 0,
 		};
@@ -157,7 +157,7 @@
 		this.#definition.loads.callFailed(state.sentCall.destination.member.name, false, now);
 		if (isNotRun) {
 			state.request.retryQuota.reclaim(state.sentCall.delegatedRetries, 0);
-		} else {
+		} else if (state.end === CallEnd.Deadline) {
 			this.#recordUpstreamOutcome(state, state.sentCall, false, now);
 		}
 
@@ -183,13 +183,24 @@
 		return [{type: EntryEffectType.CancelAtPeer, member: sentCall.destination.member, callId: sentCall.callId}];
 	}
 
+	/** Ends a call whose parent call was cancelled, as at its deadline. Its caller may still wait for the answer. */
+	endNested(entryId: number, now: number): EntryEffect[] {
+		const state = this.#calls.get(entryId);
+		if (state === undefined || state.phase === EntryPhase.Cancelling) {
+			return [];
+		}
+
+		state.end = CallEnd.ParentCancelled;
+		return this.#startCancelling(state, now);
+	}
+
 	/**
 	 * Ends all calls as at their deadlines: their callers learn whether the call was not run or may have run. The newest are
 	 * cancelled first, so that the slot of a cancelled call is not given to one that waits and is cancelled next.
 	 */
 	endAll(now: number): EntryEffect[] {
 		return [...this.#calls.values()].toReversed().flatMap(state => {
-			state.isEndedByStop = true;
+			state.end = CallEnd.Stop;
 			return state.phase === EntryPhase.Cancelling ? [] : this.#startCancelling(state, now);
 		});
 	}
@@ -233,8 +244,8 @@
 	}
 
 	#answerTimedOut(state: EntryState): EntryEffect[] {
-		const {lastError, isEndedByStop, request: {service, policy}} = state;
-		const [kind, end] = isEndedByStop ? [ErrorKind.Draining, 'the node stopped'] : [ErrorKind.TimedOut, 'the deadline'];
+		const {lastError, end, request: {service, policy}} = state;
+		const kind = end === CallEnd.Stop ? ErrorKind.Draining : ErrorKind.TimedOut;
 		const previousError = lastError === undefined ? '' : `; previous error: ${lastError.detail}`;
 		const error = {kind, detail: `No answer to ${service}/${policy.kind} before ${end}${previousError}`};
 		return this.#answerCaller(state, this.#finalOutcome(state), error);
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -224,7 +224,7 @@
 	/** Cancels the calls that the upstream made on behalf of a cancelled call. */
 	#cancelNestedCalls(callId: string, now: number): NodeEffect[] {
 		const nested = [...this.#parentByEntryId].filter(([, parent]) => parent === callId).map(([entryId]) => entryId);
-		return nested.flatMap(entryId => this.handleEntryEffects(this.entry.callerDisconnected(entryId), now));
+		return nested.flatMap(entryId => this.handleEntryEffects(this.entry.endNested(entryId, now), now));
 	}
 
 	#endNestedCall(entryId: number, now: number): void {
