Reword comments and a log line of the planned stop

Read as by a newcomer: the line about a request at the end of a stop said that it is cut off, although the request is answered; it says ended now, and the function that writes it is named so. No behaviour changes; the event of the line stays request-cut.

--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -19,13 +19,13 @@
 /** Time in which calls that are still in flight at the end are cancelled and answered. It is part of `closeTimeoutMilliseconds`. */
 const finalAnswersMilliseconds = 150;
 
-/** Longest time in which pending connections are read and refused before the node stops listening. */
+/** Longest time in which the requests on pending connections are read and refused before the node stops listening. */
 const pendingConnectionsMilliseconds = 400;
 
 /** Longest wait for the store to revoke the lease. An unrevoked lease lapses by itself; the platform kills a slow process. */
 const closeTimeoutMilliseconds = 400;
 
-/** Part of a stop in which no requests are taken. */
+/** Shortest stop: the announcement and the close, in which no new requests are served. */
 export const minimumStopMilliseconds = leaveGossipMilliseconds + closeTimeoutMilliseconds;
 
 export type PlannedStopDefinition = {
@@ -77,7 +77,7 @@
 	await delay(Math.max(0, Math.min(leaveGossipMilliseconds, closeAt - clock())));
 	const hasOpenCalls = !hasFinished && (!core.core.isDrained || callersServer.openRequests.length > 0);
 	if (hasOpenCalls) {
-		logCutRequests(definition, startedAt);
+		logEndedRequests(definition, startedAt);
 	}
 
 	// Also without open calls, since a request that arrives from now on must not be held for a newer manifest revision.
@@ -102,11 +102,12 @@
 	log.info(`draining: ${openCalls} open calls, ${callersServer.openRequests.length} open requests, ${admission.inFlight} calls in the upstream; key ranges ${ranges}`);
 }
 
-function logCutRequests({callersServer, log, clock}: PlannedStopDefinition, stopStartedAt: number): void {
+/** Logs the requests that are still open when the time of the stop has run out. */
+function logEndedRequests({callersServer, log, clock}: PlannedStopDefinition, stopStartedAt: number): void {
 	const now = clock();
 	callersServer.openRequests.map(({requestId, startedAt, isFirst}) => {
 		const received = Math.round(startedAt - stopStartedAt);
-		log.warn(`a request is cut off by the stop: received ${received} ms after its start, ${Math.round(now - startedAt)} ms ago`, {
+		log.warn(`a request is ended by the stop: received ${received} ms after its start, ${Math.round(now - startedAt)} ms ago`, {
 			event: 'request-cut', request: requestId, received, isFirst,
 		});
 		return requestId;
--- a/standins/loopback/src/free-ports.ts
+++ b/standins/loopback/src/free-ports.ts
@@ -22,8 +22,7 @@
  * Returns ports on 127.0.0.1 that no socket listens on.
  *
  * Each process reserves one block of ports and searches only that, so that concurrent processes do not get the same port. The
- * search resumes after the last port tried: a port is not
- * returned again until the whole block has been tried.
+ * search resumes after the last port tried: a port is not returned again until the whole block has been tried.
  *
  * @throws When the block has fewer free ports than requested.
  *
