review: work of a stopping node's clients is cut for more important work

Safe requests of a machine that has got SIGTERM fill the slots of an instance beside another machine. When unsafe requests of a higher rank arrive, the node of that instance cuts running safe requests, and the stopping node answers them with 502 of its own (LOST, after a SIGTERM).

At fault as far as known: AdmissionController.#preemptFor, which chooses by rank alone, and EntryCoordinator.#afterFailure.

--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -99,12 +99,18 @@
 		}
 
 		state.running += 1;
-		state.runs.push({requestId, at: performance.now(), method: request.method, url: request.url});
+		const run = {requestId, at: performance.now(), method: request.method, url: request.url, isCut: false};
+		state.runs.push(run);
 		record(`run ${service} ${state.id} ${request.method} ${request.url} ${requestId} bytes=${bytes} deadline=${request.headers['laburnumspool-request-deadline']} caller=${request.headers['laburnumspool-caller-service']}`);
 		await new Promise(resolve => {
-			const timer = setTimeout(resolve, state.workMs);
+			const timer = setTimeout(resolve, typeof state.workMs === 'function' ? state.workMs(request.url) : state.workMs);
 			response.on('close', () => {
 				clearTimeout(timer);
+				run.isCut = !response.writableFinished;
+				if (run.isCut) {
+					record(`cut ${service} ${state.id} ${requestId}`);
+				}
+
 				resolve();
 			});
 		});
