--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable no-await-in-loop */
 import {Case, delay, isTroubled} from '../lib/harness.mjs';
 import {startPlatform} from '../lib/platform.mjs';
 import {startProxy} from '../lib/proxy.mjs';
@@ -9,34 +10,55 @@
 const storeHost = test.ip(2);
 const [storePort, proxyPort] = [await test.port(storeHost), await test.port(storeHost)];
 const platform = await startPlatform({host: storeHost, port: storePort});
-const proxy = await startProxy({host: storeHost, port: proxyPort, toHost: storeHost, toPort: storePort});
+const proxy = await startProxy({
+	host: storeHost, port: proxyPort, toHost: storeHost, toPort: storePort,
+});
 const definitions = [
-	{name: 'sidecar-a-1', number: 11, region: 'north', zone: 'north-a', service: 'front'},
-	{name: 'sidecar-a-2', number: 12, region: 'north', zone: 'north-a', service: 'oldstock'},
-	{name: 'sidecar-a-3', number: 13, region: 'north', zone: 'north-a', service: 'newstock'},
+	{
+		name: 'sidecar-a-1', number: 11, region: 'north', zone: 'north-a', service: 'front',
+	},
+	{
+		name: 'sidecar-a-2', number: 12, region: 'north', zone: 'north-a', service: 'oldstock',
+	},
+	{
+		name: 'sidecar-a-3', number: 13, region: 'north', zone: 'north-a', service: 'newstock',
+	},
 ];
 const nodes = [];
 const instances = [];
 for (const definition of definitions) {
 	const node = await test.addNode({...definition, storeHost, storePort: proxyPort});
 	nodes.push(node);
-	instances.push(await startInstance({host: node.host, port: node.app, id: `i-${node.name}`, service: node.service, zone: node.zone, control: {host: node.host, port: node.control}, record: test.record}));
+	instances.push(await startInstance({
+		host: node.host, port: node.app, id: `i-${node.name}`, service: node.service, zone: node.zone, control: {host: node.host, port: node.control}, record: test.record,
+	}));
 }
 
 const config = (version, service, extra = {}) => ({
 	version,
 	routes: {
-		stock: {host: 'shop.example', prefix: '/stock/', semantics: 'idempotent', waitMilliseconds: 1500, objectiveMilliseconds: 1000, rank: 1, service, attempts: 2},
+		stock: {
+			host: 'shop.example', prefix: '/stock/', semantics: 'idempotent', waitMilliseconds: 1500, objectiveMilliseconds: 1000, rank: 1, service, attempts: 2,
+		},
 		...extra,
 	},
 	services: Object.fromEntries(['front', 'oldstock', 'newstock'].map(name => [name, {healthPath: '/health', connections: 316}])),
-	limits: {headerBytes: 16_384, bodyBytes: 1_048_576, headerMilliseconds: 3000, idleMilliseconds: 15_000},
+	limits: {
+		headerBytes: 16_384, bodyBytes: 1_048_576, headerMilliseconds: 3000, idleMilliseconds: 15_000,
+	},
 });
 platform.writeConfig(config(7, 'oldstock'));
-nodes.forEach(node => test.startNode(node));
+for (const node of nodes) {
+	test.startNode(node);
+}
+
 await Promise.all(nodes.map(node => test.untilReady(node)));
 await delay(3000);
-const idle = {spare: {host: 'shop.example', prefix: '/spare/', semantics: 'idempotent', waitMilliseconds: 1500, rank: 2, service: 'front', attempts: 2}};
+const idle = {
+	spare: {
+		host: 'shop.example', prefix: '/spare/', semantics: 'idempotent', waitMilliseconds: 1500, rank: 2, service: 'front', attempts: 2,
+	},
+};
 platform.writeConfig(config(9, 'oldstock', idle));
 test.record('operator: version 9 acknowledged (one route more)');
 await delay(2500);
@@ -44,7 +66,6 @@
 	test.record(`open connections to the store are silent from now on: ${proxy.silence()}`);
 }
 
-const silentAt = test.now;
 await delay((stabilityS + 1.5) * 1000);
 platform.writeConfig(config(12, 'newstock', idle));
 const acknowledgedAt = test.now;
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,4 +1,5 @@
 // A node is stopped as planned while its clients' requests are at work at the instance of another machine, which is full.
+/* eslint-disable no-await-in-loop, unicorn/prefer-top-level-await, no-use-extend-native/no-use-extend-native */
 import {Case, delay, isTroubled} from '../lib/harness.mjs';
 import {startPlatform} from '../lib/platform.mjs';
 import {startInstance} from '../lib/instance.mjs';
@@ -15,7 +16,9 @@
 const nodes = [];
 const instances = [];
 for (const [index, service] of ['front', 'shop', 'stock'].entries()) {
-	const node = await test.addNode({name: `sidecar-a-${index + 1}`, number: 11 + index, region: 'north', zone: 'north-a', service, storeHost, storePort});
+	const node = await test.addNode({
+		name: `sidecar-a-${index + 1}`, number: 11 + index, region: 'north', zone: 'north-a', service, storeHost, storePort,
+	});
 	nodes.push(node);
 	instances.push(await startInstance({
 		host: node.host, port: node.app, id: `i-${node.name}`, service, zone: node.zone, slots, workMs: url => url.startsWith('/browse/') ? browseMs : orderMs, control: {host: node.host, port: node.control}, record: test.record,
@@ -27,13 +30,22 @@
 platform.writeConfig({
 	version: 7,
 	routes: {
-		browse: {host: 'shop.example', prefix: '/browse/', semantics: 'idempotent', waitMilliseconds: 5000, objectiveMilliseconds: 2000, rank: 2, service: 'stock', attempts: 2},
-		order: {host: 'shop.example', prefix: '/order/', semantics: 'at-most-once', waitMilliseconds: 1200, objectiveMilliseconds: 300, rank: 0, service: 'stock', attempts: 2},
+		browse: {
+			host: 'shop.example', prefix: '/browse/', semantics: 'idempotent', waitMilliseconds: 5000, objectiveMilliseconds: 2000, rank: 2, service: 'stock', attempts: 2,
+		},
+		order: {
+			host: 'shop.example', prefix: '/order/', semantics: 'at-most-once', waitMilliseconds: 1200, objectiveMilliseconds: 300, rank: 0, service: 'stock', attempts: 2,
+		},
 	},
 	services: Object.fromEntries(['front', 'shop', 'stock'].map(name => [name, {healthPath: '/health', connections: 316}])),
-	limits: {headerBytes: 16_384, bodyBytes: 1_048_576, headerMilliseconds: 3000, idleMilliseconds: 15_000},
+	limits: {
+		headerBytes: 16_384, bodyBytes: 1_048_576, headerMilliseconds: 3000, idleMilliseconds: 15_000,
+	},
 });
-nodes.forEach(node => test.startNode(node));
+for (const node of nodes) {
+	test.startNode(node);
+}
+
 await Promise.all(nodes.map(node => test.untilReady(node)));
 await delay(3500);
 
@@ -43,11 +55,15 @@
 const browse = async node => {
 	count += 1;
 	const id = `browse${count}`;
-	const result = await test.send(node, {id, hostName: 'shop.example', path: '/browse/1', deadline: 5000});
+	const result = await test.send(node, {
+		id, hostName: 'shop.example', path: '/browse/1', deadline: 5000,
+	});
 	results.push({id, node, ...result});
 };
 
-const order = async index => test.send(shop, {id: `order${index}`, method: 'POST', hostName: 'shop.example', path: '/order/1', deadline: 1200, body: 'one hutch'});
+const order = async index => test.send(shop, {
+	id: `order${index}`, method: 'POST', hostName: 'shop.example', path: '/order/1', deadline: 1200, body: 'one hutch',
+});
 const pending = [];
 const until = test.now + 4;
 while (test.now < until) {
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -1,14 +1,21 @@
 // Starts the deployed program as separate processes on loopback addresses, and keeps the record of a case.
+/* eslint-disable no-await-in-loop, unicorn/no-process-exit, require-unicode-regexp */
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import {spawn} from 'node:child_process';
-import {mkdtempSync, readFileSync, rmSync, writeFileSync, appendFileSync} from 'node:fs';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync, appendFileSync,
+} from 'node:fs';
 import {request as sendRequest, Agent} from 'node:http';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
-import {dirname, join} from 'node:path';
+import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 
-export const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
-export const delay = milliseconds => new Promise(resolve => setTimeout(resolve, milliseconds));
+export const root = path.join(path.dirname(fileURLToPath(import.meta.url)), '..', '..');
+export const delay = async milliseconds => new Promise(resolve => {
+	setTimeout(resolve, milliseconds);
+});
 export const isTroubled = process.env.TROUBLE !== '0';
 
 /** Bounds and limits that the pages give for a deployment, as in the example of the settings. */
@@ -21,7 +28,7 @@
 });
 
 export class Case {
-	#folder = mkdtempSync(join(tmpdir(), 'case-'));
+	#folder = mkdtempSync(path.join(tmpdir(), 'case-'));
 	#recordFile;
 	#start = performance.now();
 	#block;
@@ -30,7 +37,7 @@
 	#nextPort = 20_000 + Math.floor(Math.random() * 8000);
 
 	constructor(caseUrl) {
-		this.#recordFile = join(dirname(fileURLToPath(caseUrl)), 'record.txt');
+		this.#recordFile = path.join(path.dirname(fileURLToPath(caseUrl)), 'record.txt');
 		writeFileSync(this.#recordFile, '');
 		this.#block = `127.${20 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`;
 		this.record(`trouble ${isTroubled ? 'on' : 'off'}`);
@@ -59,6 +66,7 @@
 		do {
 			this.#nextPort += 1;
 		} while (!await isFree(host, this.#nextPort));
+
 		return this.#nextPort;
 	}
 
@@ -77,27 +85,33 @@
 			node: name, region, zone, ip: host, 'listen.outbound': `${host}:${outbound}`, 'portRange.0': peers, 'portRange.1': gossip, 'listen.ready': `${host}:${ready}`,
 			'listen.control': `${host}:${control}`, service, appAddress: `${host}:${appPort ?? app}`, 'platform.address': `${storeHost}:${storePort}`, 'bounds.graceS': bounds.graceS,
 		};
-		const template = readFileSync(join(root, 'deploy/settings.yaml'), 'utf8');
-		const text = template.replaceAll(/\{\{([^}]+)\}\}/g, (_all, key) => {
+		const template = readFileSync(path.join(root, 'deploy/settings.yaml'), 'utf8');
+		const text = template.replaceAll(/{{([^}]+)}}/g, (_all, key) => {
 			if (values[key] === undefined) {
 				throw new Error(`no value for ${key}`);
 			}
 
 			return String(values[key]);
 		});
-		const file = join(this.#folder, `${name}.yaml`);
+		const file = path.join(this.#folder, `${name}.yaml`);
 		writeFileSync(file, text);
-		const node = {name, host, outbound, ready, control, peers, gossip, app: appPort ?? app, file, process: undefined, starts: 0, ends: [], service, zone, log: ''};
+		const node = {
+			name, host, outbound, ready, control, peers, gossip, app: appPort ?? app, file, process: undefined, starts: 0, ends: [], service, zone, log: '',
+		};
 		this.nodes.set(name, node);
 		return node;
 	}
 
 	/** Starts a node with the line `run` of the deploy file. */
 	startNode(node) {
-		const line = /^run = "([^"]+)"/m.exec(readFileSync(join(root, 'deploy/system.toml'), 'utf8'))[1];
+		const line = /^run = "([^"]+)"/m.exec(readFileSync(path.join(root, 'deploy/system.toml'), 'utf8'))[1];
 		const [program, ...parameters] = line.split(' ').map(word => word === '/etc/laburnumspool/node.toml' ? node.file : word);
 		const {PATH, HOME, LANG} = process.env;
-		const child = spawn(join(root, program), parameters, {cwd: root, env: {PATH, HOME, LANG, LABURNUMSPOOL_BOOT: node.file}, stdio: ['ignore', 'pipe', 'pipe']});
+		const child = spawn(path.join(root, program), parameters, {
+			cwd: root, env: {
+				PATH, HOME, LANG, LABURNUMSPOOL_BOOT: node.file,
+			}, stdio: ['ignore', 'pipe', 'pipe'],
+		});
 		node.process = child;
 		node.starts += 1;
 		this.record(`start ${node.name} pid=${child.pid}`);
@@ -123,7 +137,9 @@
 	async untilReady(node, seconds = 20) {
 		const until = this.now + seconds;
 		while (this.now < until) {
-			const {status} = await this.call({host: node.host, port: node.ready, path: '/laburnumspool/v1/health', timeout: 1000});
+			const {status} = await this.call({
+				host: node.host, port: node.ready, path: '/laburnumspool/v1/health', timeout: 1000,
+			});
 			if (status === 200) {
 				this.record(`ready ${node.name}`);
 				return;
@@ -139,14 +155,20 @@
 	call({host, port, method = 'GET', path, headers = {}, body, timeout = 5000, agent = new Agent({keepAlive: false})}) {
 		return new Promise(resolve => {
 			const sentAt = this.now;
-			const request = sendRequest({host, port, method, path, headers, agent}, response => {
+			const request = sendRequest({
+				host, port, method, path, headers, agent,
+			}, response => {
 				const chunks = [];
 				response.on('data', chunk => chunks.push(chunk));
-				response.on('close', () => resolve({status: response.complete ? response.statusCode : 0, headers: response.headers, body: Buffer.concat(chunks), sentAt, at: this.now}));
+				response.on('close', () => resolve({
+					status: response.complete ? response.statusCode : 0, headers: response.headers, body: Buffer.concat(chunks), sentAt, at: this.now,
+				}));
 			});
 			const timer = setTimeout(() => request.destroy(new Error('timeout')), timeout);
 			request.on('close', () => clearTimeout(timer));
-			request.on('error', error => resolve({status: 0, error: error.code ?? error.message, sentAt, at: this.now}));
+			request.on('error', error => resolve({
+				status: 0, error: error.code ?? error.message, sentAt, at: this.now,
+			}));
 			request.end(body);
 		});
 	}
@@ -155,7 +177,9 @@
 	async send(node, {id, method = 'GET', hostName, path, deadline = 2000, body, agent}) {
 		const result = await this.call({
 			host: node.host, port: node.outbound, method, path, body, agent, timeout: deadline + 1500,
-			headers: {host: hostName, 'laburnumspool-request-id': id, 'laburnumspool-request-deadline': String(deadline), ...(body === undefined ? {} : {'content-length': Buffer.byteLength(body)})},
+			headers: {
+				host: hostName, 'laburnumspool-request-id': id, 'laburnumspool-request-deadline': String(deadline), ...(body === undefined ? {} : {'content-length': Buffer.byteLength(body)}),
+			},
 		});
 		this.record(`sent ${id} at ${result.sentAt.toFixed(3)} ${method} ${path} to ${node.name}: ${result.status} ${result.error ?? ''}`);
 		return result;
@@ -169,7 +193,7 @@
 
 		this.#isEnding = true;
 		this.record(`result ${code}: ${text}`);
-		process.stdout.write(`${code === 0 ? 'held' : code === 1 ? 'BROKEN' : 'could not run'}: ${text}\n`);
+		process.stdout.write(`${code === 0 ? 'held' : (code === 1 ? 'BROKEN' : 'could not run')}: ${text}\n`);
 		for (const {process: child} of this.nodes.values()) {
 			if (child !== undefined && child.exitCode === null) {
 				child.kill('SIGCONT');
--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -1,9 +1,12 @@
 // Stand-in for an application instance, after PROTOCOL.md: slots and a queue, work, echo of the request id, a signature, health,
 // heartbeats to the node of its own machine. It runs a request that names it, or no instance, and answers 421 otherwise.
+import {Buffer} from 'node:buffer';
 import {createServer, request as sendRequest} from 'node:http';
 
-export async function startInstance({host, port, id, service, zone, slots = 36, workMs = 20, maxConnections = 316, control, record, queue = 40, bodyBytes = 400, beats = true}) {
-	const state = {id, state: 'ready', sequence: 0, isBeating: beats, running: 0, runs: [], waiting: [], workMs};
+export async function startInstance({host, port, id, service, zone, slots = 36, workMs = 20, control, record, queue = 40, bodyBytes = 400, beats = true}) {
+	const state = {
+		id, state: 'ready', sequence: 0, isBeating: beats, running: 0, runs: [], waiting: [], workMs,
+	};
 	const start = performance.now();
 	const sendControl = (method, body, options = {}) => new Promise(resolve => {
 		const text = JSON.stringify(body);
@@ -20,7 +23,9 @@
 	});
 	const beatBody = () => {
 		state.sequence += 1;
-		return {service, address: `${host}:${port}`, zone, version: 'v1', slots, state: state.state, coldMilliseconds: 0, sequence: state.sequence};
+		return {
+			service, address: `${host}:${port}`, zone, version: 'v1', slots, state: state.state, coldMilliseconds: 0, sequence: state.sequence,
+		};
 	};
 
 	const beat = async () => sendControl('PUT', beatBody());
@@ -99,7 +104,9 @@
 		}
 
 		state.running += 1;
-		const run = {requestId, at: performance.now(), method: request.method, url: request.url, isCut: false};
+		const run = {
+			requestId, at: performance.now(), method: request.method, url: request.url, isCut: false,
+		};
 		state.runs.push(run);
 		record(`run ${service} ${state.id} ${request.method} ${request.url} ${requestId} bytes=${bytes} deadline=${request.headers['laburnumspool-request-deadline']} caller=${request.headers['laburnumspool-caller-service']}`);
 		await new Promise(resolve => {
--- a/review/lib/platform.mjs
+++ b/review/lib/platform.mjs
@@ -1,17 +1,19 @@
 // Stand-in for the platform's metadata store, after PROTOCOL.md with the names of deploy/wire.toml. It is sound: linearizable,
 // one revision counter, leases that end, watches that wait. It listens on a loopback address.
+/* eslint-disable unicorn/no-array-for-each, unicorn/no-array-callback-reference, unicorn/no-array-sort */
+import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 
 export async function startPlatform({host, port}) {
 	const items = new Map();
 	const leases = new Map();
 	const waiters = new Set();
-	let history = [];
+	const history = [];
 	let revision = 10;
 	let lastLease = 1000;
 
 	const notify = () => {
-		for (const waiter of [...waiters]) {
+		for (const waiter of waiters) {
 			const events = history.filter(event => event.revision > waiter.after && event.key.startsWith(waiter.prefix));
 			if (events.length > 0) {
 				waiters.delete(waiter);
@@ -22,7 +24,9 @@
 
 	const put = (key, value, lease) => {
 		const created = items.get(key)?.created ?? revision;
-		const item = {key, value, revision, created, lease};
+		const item = {
+			key, value, revision, created, lease,
+		};
 		items.set(key, item);
 		history.push(item);
 	};
@@ -90,7 +94,10 @@
 			}
 
 			revision += 1;
-			puts.forEach(({key, value, lease = 0}) => put(key, value, lease));
+			for (const {key, value, lease = 0} of puts) {
+				put(key, value, lease);
+			}
+
 			removed.forEach(remove);
 			notify();
 			return {status: 200, body: {revision}};
--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -19,7 +19,7 @@
 					to.end();
 				}
 			});
-			from.on('error', () => {});
+			from.on('error', () => undefined);
 			from.on('close', () => {
 				if (!pair.silent) {
 					to.destroy();
@@ -38,16 +38,17 @@
 	return {
 		silence() {
 			const open = [...pairs].filter(pair => !pair.silent);
-			open.forEach(pair => {
+			for (const pair of open) {
 				pair.silent = true;
-			});
+			}
+
 			return open.length;
 		},
 		reset() {
-			[...pairs].forEach(({near, far}) => {
+			for (const {near, far} of pairs) {
 				near.resetAndDestroy();
 				far.destroy();
-			});
+			}
 		},
 		count: () => pairs.size,
 	};
