Log how long a failed call to the store has waited

The log of a failed call to the store had no duration, so it did not tell a watch that waits on a silent connection from a call that the store rejects, nor which later calls waited on further silent connections.

The store answers new connections all the while: renewals and reads of members fail once after 1520 to 1859 ms each, one connection after the other, and succeed on the next one. Nothing reads the manifest meanwhile, and no other revision is gossiped. So the long wait of the watch is the cause, and idle connections that are silent delay the calls after it.

--- a/packages/manifest/src/json-client.ts
+++ b/packages/manifest/src/json-client.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {performance} from 'node:perf_hooks';
 import {ErrorKind, LaburnumspoolError} from '@laburnumspool/core';
 import {Pool} from 'undici';
 import * as valibot from 'valibot';
@@ -61,6 +62,7 @@
 	/** Sends one call and reads the whole answer. */
 	async send({method, path, name = path, body, waitMilliseconds = 0}: JsonCall): Promise<JsonReply> {
 		const {answerTimeoutMilliseconds, callTimeoutMilliseconds, parse} = this.#definition;
+		const sentAt = performance.now();
 		try {
 			const response = await this.#pool.request({
 				method,
@@ -72,7 +74,7 @@
 			});
 			return {status: response.statusCode, body: parse(await readText(response.body))};
 		} catch (error) {
-			throw new LaburnumspoolError(ErrorKind.StoreUnavailable, `${method} ${name}: no valid answer from the store`, {cause: error});
+			throw new LaburnumspoolError(ErrorKind.StoreUnavailable, `${method} ${name}: no valid answer from the store after ${Math.round(performance.now() - sentAt)} ms`, {cause: error});
 		}
 	}
 
