Open a connection for each call to the store

Callers saw requests run by a service that an accepted manifest no longer names.

A call now opens a connection of its own, so a connection that goes silent affects only the calls that wait on it.

--- a/packages/manifest/src/json-client.ts
+++ b/packages/manifest/src/json-client.ts
@@ -34,13 +34,16 @@
 	readonly body?: unknown;
 	/** Time for which the store may delay its answer, such as for a watch; 0 by default. */
 	readonly waitMilliseconds?: number;
+	/** Overrides the value of the client. */
+	readonly answerTimeoutMilliseconds?: number;
 };
 
 /** An answer with any status. */
 export type JsonReply = {readonly status: number; readonly body: unknown};
 
 /**
- * Sends calls. Every call without a complete, parsable answer in time rejects with `store-unavailable`.
+ * Sends calls, each over a connection of its own. Every call without a complete, parsable answer in time rejects with
+ * `store-unavailable`.
  *
  * @example
  * const client = new JsonClient({
@@ -56,12 +59,15 @@
 	constructor(definition: JsonClientDefinition) {
 		this.#definition = definition;
 		const {url, maximumConnections, connectTimeoutMilliseconds, maximumAnswerBytes} = definition;
-		this.#pool = new Pool(url, {connections: maximumConnections, connectTimeout: connectTimeoutMilliseconds, maxResponseSize: maximumAnswerBytes});
+		this.#pool = new Pool(url, {
+			// Each call opens a connection: an idle one may have gone silent, which only the time limit of the call would show.
+			pipelining: 0, connections: maximumConnections, connectTimeout: connectTimeoutMilliseconds, maxResponseSize: maximumAnswerBytes,
+		});
 	}
 
 	/** Sends one call and reads the whole answer. */
-	async send({method, path, name = path, body, waitMilliseconds = 0}: JsonCall): Promise<JsonReply> {
-		const {answerTimeoutMilliseconds, callTimeoutMilliseconds, parse} = this.#definition;
+	async send({method, path, name = path, body, waitMilliseconds = 0, answerTimeoutMilliseconds = this.#definition.answerTimeoutMilliseconds}: JsonCall): Promise<JsonReply> {
+		const {callTimeoutMilliseconds, parse} = this.#definition;
 		const sentAt = performance.now();
 		try {
 			const response = await this.#pool.request({
--- a/packages/manifest/src/tests/json-client.test.ts
+++ b/packages/manifest/src/tests/json-client.test.ts
@@ -130,3 +130,22 @@
 		}
 	});
 }
+
+// Guards against incident review-2: after all connections had gone silent, each call waited for the time limit on the next one.
+test('every call is answered although each connection goes silent after its first answer', async t => {
+	const answer = `${head}content-length: ${document.length}\r\n\r\n${document}`;
+	const server = createServer(socket => {
+		socket.on('error', doNothing);
+		socket.once('data', () => {
+			socket.write(answer);
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const client = createClient((server.address() as {port: number}).port);
+	t.teardown(async () => {
+		server.close();
+		await client.close();
+	});
+	const reply = {status: 200, body: JSON.parse(document) as unknown};
+	t.same([await client.send({method: 'GET', path: '/x'}), await client.send({method: 'GET', path: '/x'}), await client.send({method: 'GET', path: '/x'})], [reply, reply, reply]);
+});
