--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -29,7 +29,6 @@
 /** Allows for a whole view or manifest over a slow network. */
 const exchangeTimeoutMilliseconds = 10_000;
 const maximumAnswerBytes = 16 * 1024 * 1024;
-const keepAliveMilliseconds = 10_000;
 
 const manifestReplySchema = valibot.object({number: valibot.number(), document: valibot.string()});
 
@@ -71,7 +70,8 @@
 	readonly #definition: PeersClientDefinition;
 	readonly #connections = new Map<string, PeerConnection>();
 	readonly #agent = new Agent({
-		connections: 1, pipelining: 1, connectTimeout: connectTimeoutMilliseconds, keepAliveTimeout: keepAliveMilliseconds,
+		// Exchanges are rare, and an idle connection may have gone silent, so each exchange opens a connection.
+		connections: 1, pipelining: 0, connectTimeout: connectTimeoutMilliseconds,
 	});
 
 	/** Handlers of the frames that a serving node sends. Others are ignored. */
