Bound the time for which a node uses an unconfirmed manifest

In both, no node could tell that its manifest was old: the two watching nodes of a region waited 21.5 s for the answer to a watch, and all others relied on them and on gossip.

The store's answer now confirms the active revision at a time, and gossip passes the confirmation on with its age. The other nodes ask a watcher for its confirmation. A node whose latest confirmation is older than store.manifestAgeMilliseconds (1.9 s) reads the store itself, whatever kept the confirmation away; the deputy of the watchers does so somewhat earlier. Pauses after a failed call run from its start.

--- a/packages/core/src/membership/member-schema.ts
+++ b/packages/core/src/membership/member-schema.ts
@@ -53,6 +53,12 @@
 	version: valibot.pipe(valibot.number(), valibot.safeInteger(), valibot.minValue(0)),
 });
 
+/** A statement that a manifest revision was the newest one in the store some time ago. */
+export const manifestConfirmationSchema = valibot.object({
+	number: valibot.pipe(valibot.number(), valibot.safeInteger(), valibot.minValue(1)),
+	ageMilliseconds: valibot.pipe(valibot.number(), valibot.safeInteger(), valibot.minValue(0)),
+});
+
 /** Result of checking one value of another process. */
 export type CheckedValue<Value>
 	= | {readonly success: true; readonly value: Value}
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -144,6 +144,11 @@
 		return members.filter(member => this.#isReachable(member)).flatMap(member => member.name === this.#own.name ? this.#mergeOwn(member, now) : this.#mergeOther(member, now));
 	}
 
+	/** Requests a gossip message from a member, for the content that such messages carry. The failure detector ignores the reply. */
+	ping(member: Member): MembershipEffect {
+		return this.#send(addressOf(member), GossipType.Ping, 0);
+	}
+
 	/** Digests for a view exchange. */
 	bucketDigests(): number[] {
 		return this.#table.bucketDigests();
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {Address, Member} from './member.js';
+import type {ManifestConfirmation} from '../manifest/freshness.js';
 import type {Rumor} from './rumors.js';
 
 export enum GossipType {
@@ -28,6 +29,8 @@
 	/** Member updates that are piggybacked on the message. */
 	readonly members: readonly Member[];
 	readonly rumors: readonly Rumor[];
+	/** Absent if the sender's latest confirmation is too old to be of use. */
+	readonly manifest?: ManifestConfirmation | undefined;
 };
 
 export enum MembershipEffectType {
--- a/packages/core/src/node/membership-effects.ts
+++ b/packages/core/src/node/membership-effects.ts
@@ -5,6 +5,7 @@
  */
 import {EventType} from '../events/event.js';
 import type {HybridClock} from '../events/hybrid-clock.js';
+import type {ManifestConfirmation} from '../manifest/freshness.js';
 import {Liveness, UpstreamState, type Member} from '../membership/member.js';
 import {MembershipEffectType, type MembershipEffect} from '../membership/messages.js';
 import type {Rumor} from '../membership/rumors.js';
@@ -13,13 +14,15 @@
 export type MembershipEffectsDefinition = {
 	readonly clock: HybridClock;
 	readonly makeEvent: EventEffectFactory;
+	/** The confirmation of the active manifest that messages carry. */
+	readonly confirmation: (now: number) => ManifestConfirmation | undefined;
 };
 
 /**
  * Translator of membership effects.
  *
  * @example
- * new MembershipEffects({clock, makeEvent}).translate(membership.advance(now));
+ * new MembershipEffects({clock, makeEvent, confirmation}).translate(membership.advance(now), now);
  */
 export class MembershipEffects {
 	readonly #definition: MembershipEffectsDefinition;
@@ -36,11 +39,11 @@
 		return effects.flatMap(effect => effect.type === MembershipEffectType.RumorReceived ? [effect.rumor] : []);
 	}
 
-	translate(effects: readonly MembershipEffect[]): NodeEffect[] {
+	translate(effects: readonly MembershipEffect[], now: number): NodeEffect[] {
 		return effects.flatMap(effect => {
 			const handlers: {readonly [Type in MembershipEffectType]: (effect: Extract<MembershipEffect, {type: Type}>) => NodeEffect[]} = {
 				[MembershipEffectType.Send]: ({to, message}) => [{
-					type: NodeEffectType.SendGossip, to, message, clock: this.#definition.clock.next(),
+					type: NodeEffectType.SendGossip, to, message: {...message, manifest: this.#definition.confirmation(now)}, clock: this.#definition.clock.next(),
 				}],
 				[MembershipEffectType.Exchange]: ({to}) => [{type: NodeEffectType.ExchangeMembers, to}],
 				[MembershipEffectType.Changed]: ({member}) => this.#memberEvent(member),
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -10,6 +10,7 @@
 import {EventType, toEvent, type EventDetails} from '../events/event.js';
 import {HybridClock, type HybridTime} from '../events/hybrid-clock.js';
 import {describeIssues, type Revision} from '../manifest/adoption.js';
+import type {ManifestConfirmation} from '../manifest/freshness.js';
 import type {Member} from '../membership/member.js';
 import {Membership} from '../membership/membership.js';
 import type {GossipMessage} from '../membership/messages.js';
@@ -31,6 +32,7 @@
 	NodeEffectType, type Announcement, type CallerRequest, type NodeEffect, type Withdrawal,
 } from './effects.js';
 import {ActiveManifest} from './active-manifest.js';
+import {ManifestWatch} from './manifest-watch.js';
 import {MembershipEffects} from './membership-effects.js';
 import type {NodeDefinition} from './node-definition.js';
 import {AtMostOnceEffects} from './at-most-once-effects.js';
@@ -42,6 +44,7 @@
 /** Time for which claims are remembered before a manifest is active. */
 const defaultRememberSeconds = 600;
 const longestCallMilliseconds = 600_000;
+const defaultManifestAgeMilliseconds = 1900;
 
 const stoppingError: CallError = {kind: ErrorKind.Draining, detail: 'The node is stopping and takes no new requests'};
 
@@ -64,6 +67,7 @@
 	readonly #directory = new RangeDirectory();
 	readonly #flow: CallFlow;
 	readonly #membership: Membership;
+	readonly #manifestWatch: ManifestWatch;
 	readonly #membershipEffects: MembershipEffects;
 	readonly #lifecycle: UpstreamLifecycle;
 	readonly #versions: VersionUpdates;
@@ -80,10 +84,13 @@
 		this.#membership = new Membership({
 			own: definition.own, random: definition.random, times: definition.membershipTimes, wallClock: definition.wallClock,
 		});
+		this.#manifestWatch = new ManifestWatch({
+			manifest: this.#manifest, membership: this.#membership, maximumAgeMilliseconds: definition.manifestAgeMilliseconds ?? defaultManifestAgeMilliseconds,
+		});
 		this.#versions = new VersionUpdates({manifest: this.#manifest, directory: this.#directory, membership: this.#membership});
 		this.#atMostOnce = this.#createAtMostOnce();
 		const makeEvent = (details: EventDetails): NodeEffect => this.#event(details);
-		this.#membershipEffects = new MembershipEffects({clock: this.#clock, makeEvent});
+		this.#membershipEffects = new MembershipEffects({clock: this.#clock, makeEvent, confirmation: now => this.#manifestWatch.confirmation(now)});
 		this.#flow = new CallFlow({
 			node: definition,
 			membership: this.#membership,
@@ -123,6 +130,11 @@
 		return this.#manifest.current;
 	}
 
+	/** Supervision of the age of the active manifest. */
+	get manifestWatch(): ManifestWatch {
+		return this.#manifestWatch;
+	}
+
 	get atMostOnce(): AtMostOnceCoordinator {
 		return this.#atMostOnce;
 	}
@@ -243,7 +255,8 @@
 
 	gossipArrived(message: GossipMessage, clock: HybridTime, now: number): NodeEffect[] {
 		this.#clock.observe(clock);
-		return this.#handleMembershipEffects(this.#membership.receive(message, now), now);
+		const pulls = message.manifest === undefined ? [] : this.manifestConfirmed(message.manifest, now);
+		return [...pulls, ...this.#handleMembershipEffects(this.#membership.receive(message, now), now)];
 	}
 
 	/** Merges the members and versions that another node returned in a view exchange. */
@@ -257,12 +270,19 @@
 			return [];
 		}
 
+		this.#manifestWatch.adopted(now);
 		this.#updateAtMostOnceService();
 		const broadcast = this.#handleMembershipEffects(this.#membership.broadcast({topic: manifestTopic, version: revision.number}), now);
 		const event = this.#event({type: EventType.ManifestAdopted, detail: `revision ${revision.number}`, ...describeIssues(revision)});
 		return [event, ...broadcast, ...this.#resumeHeldRequests(now)];
 	}
 
+	/** Processes a statement of the store or of another node that a revision is the newest. A node that lacks it pulls it. */
+	manifestConfirmed(confirmation: ManifestConfirmation, now: number): NodeEffect[] {
+		this.#manifestWatch.confirmed(confirmation, now);
+		return this.#versions.observeRevision(confirmation.number, now);
+	}
+
 	atMostOnceMessageArrived(from: Holder, message: AtMostOnceMessage, now: number): NodeEffect[] {
 		return this.#flow.handleServingEffects(this.#flow.serving.fromAtMostOnce(this.#atMostOnce.receive(from, message, now), now), now);
 	}
@@ -370,7 +390,7 @@
 		}
 
 		const pulls = this.#membershipEffects.receivedRumors(effects).flatMap(rumor => this.#versions.observe(rumor.topic, rumor.version, now));
-		return [...this.#membershipEffects.translate(effects), ...pulls];
+		return [...this.#membershipEffects.translate(effects, now), ...pulls];
 	}
 
 	#resumeHeldRequests(now: number): NodeEffect[] {
@@ -397,7 +417,7 @@
 		const lifecycleEffects = this.#lifecycle.advance(now);
 		const membership = this.#handleMembershipEffects(this.#membership.advance(now), now);
 		const atMostOnce = this.#flow.handleServingEffects(this.#flow.serving.fromAtMostOnce(this.#atMostOnce.advance(now), now), now);
-		const pulls = this.#versions.advance(now);
+		const pulls = [...this.#versions.advance(now), ...this.#handleMembershipEffects(this.#manifestWatch.advance(now), now)];
 		const resumed = this.#resumeHeldRequests(now);
 		return [...lifecycleEffects, ...membership, ...atMostOnce, ...pulls, ...resumed, ...this.#limitEvent()];
 	}
--- a/packages/core/src/node/node-definition.ts
+++ b/packages/core/src/node/node-definition.ts
@@ -22,6 +22,8 @@
 	/** Longest time that the node keeps its roles without a confirmed lease renewal. */
 	readonly storeOutageLimitMilliseconds: number;
 	readonly clockErrorMilliseconds: number;
+	/** Time after the last confirmation of the active manifest at which the node reads the store itself; 1900 by default. */
+	readonly manifestAgeMilliseconds?: number;
 	readonly admissionMechanisms?: AdmissionMechanisms;
 	readonly entryMechanisms?: EntryMechanisms;
 	/** Largest share of the announced slots that is used; 1 by default. */
--- a/packages/manifest/src/http-store.ts
+++ b/packages/manifest/src/http-store.ts
@@ -6,7 +6,7 @@
 import {ErrorKind, parseJson} from '@laburnumspool/core';
 import * as valibot from 'valibot';
 import {JsonClient, readReply} from './json-client.js';
-import {SwapResultType, type Store} from './store.js';
+import {SwapResultType, watchGraceMilliseconds, type Store} from './store.js';
 
 const answerTimeoutMilliseconds = 2000;
 const callTimeoutMilliseconds = 10_000;
@@ -52,7 +52,9 @@
 			return {type: SwapResultType.Written, version: readReply(reply, 200, writtenSchema).version};
 		},
 		async watch(key, aboveVersion, waitMilliseconds) {
-			const reply = await client.send({method: 'GET', path: `${keyPath(key)}?above=${aboveVersion}&waitMilliseconds=${waitMilliseconds}`, waitMilliseconds});
+			const reply = await client.send({
+				method: 'GET', path: `${keyPath(key)}?above=${aboveVersion}&waitMilliseconds=${waitMilliseconds}`, waitMilliseconds, answerTimeoutMilliseconds: watchGraceMilliseconds,
+			});
 			return reply.status === 204 ? undefined : readReply(reply, 200, entrySchema);
 		},
 		async list(prefix) {
--- a/packages/manifest/src/store.ts
+++ b/packages/manifest/src/store.ts
@@ -35,7 +35,10 @@
 	 * the lease ends.
 	 */
 	readonly compareAndSwap: (key: string, expectedVersion: number, value: string, lease?: string) => Promise<SwapResult>;
-	/** Waits until the key has a version above the given one; undefined if that does not happen in time. */
+	/**
+	 * Waits until the key has a version above the given one; undefined if that does not happen in time. Rejects
+	 * `watchGraceMilliseconds` after that time without an answer, since the connection may be silent.
+	 */
 	readonly watch: (key: string, aboveVersion: number, waitMilliseconds: number) => Promise<StoreEntry | undefined>;
 	/** Reads all entries whose keys begin with the prefix. The entries may be seconds old. */
 	readonly list: (prefix: string) => Promise<readonly KeyedEntry[]>;
@@ -47,5 +50,8 @@
 	readonly close: () => Promise<void>;
 };
 
+/** Longest wait for the answer to a watch after its own wait has ended. */
+export const watchGraceMilliseconds = 500;
+
 /** Default key of the manifest. */
 export const defaultManifestKey = 'laburnumspool/manifest';
--- a/packages/node/src/core-task.ts
+++ b/packages/node/src/core-task.ts
@@ -32,6 +32,7 @@
 	GossipArrived = 'gossip-arrived',
 	ViewArrived = 'view-arrived',
 	ManifestArrived = 'manifest-arrived',
+	ManifestConfirmed = 'manifest-confirmed',
 	AtMostOnceMessageArrived = 'once-arrived',
 	RecordArrived = 'record-arrived',
 	RecordWritten = 'record-written',
@@ -64,6 +65,8 @@
 	[CoreMessageType.GossipArrived]: {readonly message: GossipMessage; readonly clock: HybridTime};
 	[CoreMessageType.ViewArrived]: {readonly members: readonly Member[]; readonly rumors: readonly Rumor[]};
 	[CoreMessageType.ManifestArrived]: {readonly revision: Revision};
+	/** The revision was the newest one in the store at the given time. */
+	[CoreMessageType.ManifestConfirmed]: {readonly number: number; readonly at: number};
 	[CoreMessageType.AtMostOnceMessageArrived]: {readonly from: Holder; readonly message: AtMostOnceMessage};
 	[CoreMessageType.RecordArrived]: {readonly record: VersionedRecord | undefined};
 	[CoreMessageType.RecordWritten]: {readonly result: WriteResult};
@@ -105,6 +108,7 @@
 	[CoreMessageType.GossipArrived]: (core, {message, clock}, now) => core.gossipArrived(message, clock, now),
 	[CoreMessageType.ViewArrived]: (core, {members, rumors}, now) => core.viewArrived(members, rumors, now),
 	[CoreMessageType.ManifestArrived]: (core, {revision}, now) => core.manifestArrived(revision, now),
+	[CoreMessageType.ManifestConfirmed]: (core, {number, at}, now) => core.manifestConfirmed({number, ageMilliseconds: now - at}, now),
 	[CoreMessageType.AtMostOnceMessageArrived]: (core, {from, message}, now) => core.atMostOnceMessageArrived(from, message, now),
 	[CoreMessageType.RecordArrived]: (core, {record}, now) => core.recordArrived(record, now),
 	[CoreMessageType.RecordWritten]: (core, {result}, now) => core.recordWritten(result, now),
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -273,6 +273,7 @@
 		claimLimits: {maximumClaims: settings.limits.claims, maximumAnswerBytes: settings.limits.claimAnswerBytes},
 		storeOutageLimitMilliseconds: settings.store.workWithoutSeconds * 1000,
 		clockErrorMilliseconds: settings.clockErrorMilliseconds,
+		manifestAgeMilliseconds: settings.store.manifestAgeMilliseconds,
 		admissionMechanisms: {...allAdmissionMechanisms, adaptiveLimit: settings.admission.adaptiveLimit},
 		slotShare: settings.admission.slotShare,
 		retries: settings.retries,
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {performance} from 'node:perf_hooks';
 import {EventType, type NodeCore, type NodeEvent} from '@laburnumspool/core';
 import type {StatsD} from 'hot-shots';
 import {
@@ -108,6 +109,8 @@
 		level: core.admission.load.level,
 		members: core.membership.others.length + 1,
 		revision: core.manifest?.number ?? 0,
+		// Infinite before the first confirmation.
+		manifest_age_milliseconds: core.manifestWatch.age(performance.now()),
 		claims: core.atMostOnce.memory.claims,
 	};
 }
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -75,6 +75,8 @@
 		url,
 		/** Key of the manifest in the store. */
 		manifestKey: valibot.optional(text, defaultManifestKey),
+		/** Time after the last confirmation that the active manifest is the newest at which the node reads the store itself. */
+		manifestAgeMilliseconds: valibot.optional(positive, 1900),
 		leaseSeconds: valibot.optional(positive, 60),
 		/** Longest time for which the node serves key ranges after the store last confirmed its lease. */
 		workWithoutSeconds: valibot.optional(positive, 600),
--- a/packages/node/src/store-task.ts
+++ b/packages/node/src/store-task.ts
@@ -5,7 +5,7 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	checkMemberText, chooseByRendezvous, formatMember, holderKey, isDeadOrLeft, NodeEffectType, WriteResultType, type Holder, type Member, type RangeRecord, type Revision, type WriteResult,
+	checkMemberText, formatMember, holderKey, ManifestRead, NodeEffectType, WriteResultType, type Holder, type Member, type RangeRecord, type Revision, type WriteResult,
 } from '@laburnumspool/core';
 import {
 	SwapResultType, type KeyedEntry, type Store, type StoreEntry,
@@ -15,17 +15,17 @@
 import {ProblemLog} from './problem-log.js';
 import {tryParseRecord} from './range-records.js';
 
-/** Longest wait of one watch request for a newer manifest. */
-const watchTimeoutMilliseconds = 20_000;
-const watchersPerRegion = 2;
 const memberPollWithoutPeersMilliseconds = 500;
 
 /** Poll interval per known member; scaling it with the member count keeps the read entries per second linear in the fleet size. */
 const memberPollMillisecondsPerMember = 1250;
 const minimumMemberPollMilliseconds = 2000;
-/** Pause between two watches, and the base of the back-off after failures. */
+/** Interval of the checks whether the manifest must be read, and the base of the back-off after failures. */
 const basePauseMilliseconds = 200;
 const maximumBackoffMilliseconds = 1000;
+
+/** Part of the maximum back-off per known member. Limits the calls of a whole fleet to a store that fails. */
+const backoffMillisecondsPerMember = 1;
 const holdersPrefix = 'holders/';
 
 /** Time after the start in which a node that knows others expects the manifest from them. */
@@ -69,6 +69,9 @@
 	#isReadingManifest = false;
 	/** Version of the manifest entry that was read last. */
 	#lastReadVersion = 0;
+	/** Number of the revision in that entry; undefined if the entry was invalid. */
+	#lastReadNumber: number | undefined;
+	#manifestReadAt = -Infinity;
 
 	constructor(definition: StoreTaskDefinition) {
 		this.#definition = definition;
@@ -93,7 +96,7 @@
 		this.#startedAt = this.#definition.clock();
 		void this.#repeat(async () => this.#renewLease(), () => this.#definition.leaseMilliseconds / 3);
 		void this.#repeat(async () => this.#readMembers(), () => this.#memberPollMilliseconds());
-		void this.#watchManifest();
+		void this.#repeat(async () => this.#followManifest(), () => basePauseMilliseconds);
 	}
 
 	/** Revokes the lease, so that other nodes need not wait until it lapses, and closes the store. */
@@ -116,7 +119,7 @@
 		try {
 			if (!await this.#definition.pullManifest(from)) {
 				await this.#attempt(async () => {
-					this.#postManifest(await this.#definition.store.get(this.#definition.manifestKey));
+					await this.#readManifest();
 				});
 			}
 		} finally {
@@ -183,32 +186,65 @@
 		return count === 0 ? memberPollWithoutPeersMilliseconds : Math.max(minimumMemberPollMilliseconds, count * memberPollMillisecondsPerMember);
 	}
 
-	/** Watches the manifest in the store from a few nodes of each region; the others receive new revisions from their peers. */
-	async #watchManifest(): Promise<void> {
-		const {store, manifestKey} = this.#definition;
-		await this.#repeat(async () => {
-			if (this.#readsManifest()) {
-				this.#postManifest(await store.watch(manifestKey, this.#lastReadVersion, watchTimeoutMilliseconds));
-			}
-		}, () => basePauseMilliseconds);
+	/** Reads or watches the manifest in the store where that is due. The others receive new revisions and confirmations from their peers. */
+	async #followManifest(): Promise<void> {
+		const handlers: Readonly<Record<ManifestRead, () => Promise<void>>> = {
+			[ManifestRead.None]: async () => undefined,
+			[ManifestRead.Now]: async () => this.#readManifest(),
+			[ManifestRead.Watch]: async () => this.#watchManifest(),
+		};
+		await handlers[this.#dueRead()]();
 	}
 
-	/** Each call to the store is billed, so a node reads the manifest itself only where no other one is expected to send it. */
-	#readsManifest(): boolean {
+	/** Each call to the store is billed, so a node without a manifest reads it itself only where no other one is expected to send it. */
+	#dueRead(): ManifestRead {
 		const {core, clock} = this.#definition;
-		const {own, membership, manifest} = core.core;
-		if (manifest === undefined) {
-			const isOverdue = clock() - this.#startedAt >= manifestFromPeersMilliseconds;
-			const isOnlyNode = membership.others.length === 0 && this.#memberReads >= memberReadsOfOnlyNode;
-			return isOverdue || isOnlyNode || (membership.others.length > 0 && this.#isWatcher(own, membership.members));
+		const {membership, manifest, manifestWatch} = core.core;
+		if (manifest !== undefined) {
+			return manifestWatch.read(clock());
+		}
+
+		const isOnlyNode = membership.others.length === 0 && this.#memberReads >= memberReadsOfOnlyNode;
+		if (isOnlyNode || (membership.others.length > 0 && manifestWatch.isFirstReader)) {
+			return ManifestRead.Watch;
 		}
 
-		return this.#isWatcher(own, membership.members);
+		const isOverdue = clock() - Math.max(this.#startedAt, this.#manifestReadAt) >= manifestFromPeersMilliseconds;
+		return isOverdue ? ManifestRead.Now : ManifestRead.None;
 	}
 
-	#isWatcher(own: Member, members: readonly Member[]): boolean {
-		const region = members.filter(member => !isDeadOrLeft(member) && member.location.region === own.location.region);
-		return chooseByRendezvous('manifest', region, member => member.name, watchersPerRegion).some(member => member.name === own.name);
+	async #readManifest(): Promise<void> {
+		const {store, manifestKey, clock} = this.#definition;
+		const sentAt = clock();
+		this.#manifestReadAt = sentAt;
+		const entry = await store.get(manifestKey);
+		if (entry !== undefined) {
+			this.#manifestRead(entry, sentAt);
+		}
+	}
+
+	/** A watch that ends without a newer revision shows that there was none at the end of its wait. */
+	async #watchManifest(): Promise<void> {
+		const {core, store, manifestKey, clock} = this.#definition;
+		const waitMilliseconds = Math.floor(core.core.manifestWatch.watchMilliseconds);
+		const sentAt = clock();
+		const entry = await store.watch(manifestKey, this.#lastReadVersion, waitMilliseconds);
+		const hasWaited = entry === undefined && clock() - sentAt >= waitMilliseconds;
+		this.#manifestRead(entry, hasWaited ? sentAt + waitMilliseconds : sentAt);
+	}
+
+	/** Adopts a newer revision, and confirms the newest one unless the store answered with an older one. */
+	#manifestRead(entry: StoreEntry | undefined, at: number): void {
+		if (entry !== undefined && entry.version < this.#lastReadVersion) {
+			return;
+		}
+
+		this.#postManifest(entry);
+		const {core} = this.#definition;
+		const number = this.#lastReadNumber ?? core.core.manifest?.number;
+		if (number !== undefined) {
+			core.post({type: CoreMessageType.ManifestConfirmed, number, at});
+		}
 	}
 
 	#postManifest(entry: StoreEntry | undefined): void {
@@ -218,8 +254,11 @@
 		}
 
 		this.#lastReadVersion = entry.version;
+		this.#lastReadNumber = undefined;
 		try {
-			core.post({type: CoreMessageType.ManifestArrived, revision: readManifest(entry)});
+			const revision = readManifest(entry);
+			this.#lastReadNumber = revision.number;
+			core.post({type: CoreMessageType.ManifestArrived, revision});
 		} catch (error) {
 			const active = core.core.manifest === undefined ? 'the node has none' : `revision ${core.core.manifest.number} stays active`;
 			log.error(`the manifest at version ${entry.version} is invalid and was not adopted, ${active}: ${error instanceof Error ? error.message : String(error)}`);
@@ -246,18 +285,28 @@
 		});
 	}
 
-	/** Repeats a step until the stop, with jittered pauses, and with exponential back-off while the store fails. */
+	/**
+	 * Repeats a step until the stop, with jittered pauses, and with exponential back-off while the store fails. Pauses run from
+	 * the start of the step, so that a call that timed out is repeated without a further wait.
+	 */
 	async #repeat(step: () => Promise<void>, pauseMilliseconds: () => number): Promise<void> {
+		const {clock, random} = this.#definition;
 		while (!this.#stopController.signal.aborted) {
+			const startedAt = clock();
 			const isDone = await this.#attempt(async () => { // eslint-disable-line no-await-in-loop
 				await step();
 				return true;
 			});
-			const pause = isDone === true ? pauseMilliseconds() : Math.min(maximumBackoffMilliseconds, basePauseMilliseconds * (2 ** Math.min(8, this.#consecutiveFailures)));
-			await delay(pause * (0.75 + (this.#definition.random() / 2)), undefined, {signal: this.#stopController.signal}).catch(() => undefined); // eslint-disable-line no-await-in-loop
+			const pause = (isDone === true ? pauseMilliseconds() : this.#backoffMilliseconds) * (0.75 + (random() / 2));
+			await delay(Math.max(0, pause - (clock() - startedAt)), undefined, {signal: this.#stopController.signal}).catch(() => undefined); // eslint-disable-line no-await-in-loop
 		}
 	}
 
+	get #backoffMilliseconds(): number {
+		const maximum = Math.max(maximumBackoffMilliseconds, this.#definition.core.core.membership.others.length * backoffMillisecondsPerMember);
+		return Math.min(maximum, basePauseMilliseconds * (2 ** Math.min(8, this.#consecutiveFailures)));
+	}
+
 	/** Runs a step; undefined when it throws. Logs the first of several failures in a row, and the success after them. */
 	async #attempt<Result>(step: () => Promise<Result>): Promise<Result | undefined> {
 		try {
--- a/packages/node/src/tests/store-task.test.ts
+++ b/packages/node/src/tests/store-task.test.ts
@@ -123,6 +123,21 @@
 	await Promise.all(started.map(async ({task}) => task.stop()));
 });
 
+// Guards against incident review-2: a node that is cut off from the others, but not from the store, kept an old manifest active.
+test('nodes that receive nothing from each other read a new manifest within 2.5 seconds of its write', async t => {
+	const store = new StoreStub();
+	const members = Array.from({length: nodeCount}, (_, index) => createMember(index));
+	members.map(member => store.entries.set(`holders/${holderKey(member)}`, {key: `holders/${holderKey(member)}`, version: 1, value: formatMember(member)}));
+	store.entries.set('manifest', {key: 'manifest', version: 1, value: createLookManifest(1000)});
+	const started = members.map(member => startTask(store, member, () => performance.now()));
+	started.map(({core}) => core.post({type: CoreMessageType.ManifestArrived, revision: defaultDeployment.toRevision(1, createLookManifest(1000))}));
+	await settle(500);
+	store.entries.set('manifest', {key: 'manifest', version: 2, value: createLookManifest(2000)});
+	await settle(2500);
+	t.same([...new Set(started.map(({core}) => core.core.manifest?.number))], [2]);
+	await Promise.all(started.map(async ({task}) => task.stop()));
+});
+
 test('a node that is alone reads the manifest after its second look for others', async t => {
 	const store = new StoreStub();
 	store.entries.set('manifest', {key: 'manifest', version: 1, value: createLookManifest(1000)});
--- a/packages/protocol/src/control-codec.ts
+++ b/packages/protocol/src/control-codec.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	checkValue, ClaimState, ErrorKind, EventType, GossipType, keepValid, LaburnumspoolError, AtMostOnceMessageType, memberSchema, rumorSchema,
+	checkValue, ClaimState, ErrorKind, EventType, GossipType, keepValid, LaburnumspoolError, AtMostOnceMessageType, manifestConfirmationSchema, memberSchema, rumorSchema,
 	type AnswerPayload, type Claim, type GossipMessage, type HybridTime, type Member, type NodeEvent, type AtMostOnceMessage,
 } from '@laburnumspool/core';
 import {laburnumspool} from '../generated/control.js';
@@ -61,6 +61,7 @@
 		sender: toWireMember(message.sender),
 		members: message.members.map(member => toWireMember(member)),
 		rumors: [...message.rumors],
+		manifest: message.manifest ?? null,
 		clock,
 	}).finish();
 }
@@ -86,10 +87,17 @@
 			target: wire.target,
 			members: keepValid(memberSchema, wire.members.map(member => fromWireMember(member)), report),
 			rumors: keepValid(rumorSchema, wire.rumors.map(rumor => ({topic: rumor.topic ?? '', version: rumor.version ?? 0})), report),
+			...fromWireConfirmation(wire.manifest, report),
 		},
 	};
 }
 
+/** A confirmation with a number that is not a whole one is left out and reported. */
+function fromWireConfirmation(wire: laburnumspool.control.IManifestConfirmation | null | undefined, report: ReportProblem): Pick<GossipMessage, 'manifest'> {
+	const [manifest] = wire === null || wire === undefined ? [] : keepValid(manifestConfirmationSchema, [{number: wire.number ?? 0, ageMilliseconds: wire.ageMilliseconds ?? 0}], report);
+	return manifest === undefined ? {} : {manifest};
+}
+
 function decodeWire<Message>(decode: () => Message): Message {
 	try {
 		return decode();
--- a/standins/store/src/store-server.ts
+++ b/standins/store/src/store-server.ts
@@ -7,6 +7,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {
 	noFaults, StoreState, type Entry, type Faults,
 } from './store-state.js';
@@ -49,12 +50,19 @@
 	#faults: Faults = noFaults;
 	#rateWindow = {startedAt: 0, reads: 0, writes: 0};
 	#watchTimer: NodeJS.Timeout | undefined;
+	readonly #connections = new Set<Socket>();
+	/** Open connections over which nothing is received or sent any more. */
+	readonly #silentConnections = new WeakSet<Socket>();
 
 	constructor(rateLimits: StoreRateLimits = defaultStoreRateLimits) {
 		this.#rateLimits = rateLimits;
 		this.#server = createServer((request, response) => {
 			void this.#handle(request, response);
 		});
+		this.#server.on('connection', socket => {
+			this.#connections.add(socket);
+			socket.once('close', () => this.#connections.delete(socket));
+		});
 	}
 
 	/** Port of the server; 0 unless it listens. */
@@ -90,7 +98,17 @@
 		this.state.setServesStaleReads(this.#faults.servesStaleReads);
 	}
 
+	/** Leaves all connections that are open now without a further answer, and without a reset. New connections work. */
+	silenceConnections(): void {
+		[...this.#connections].map(socket => this.#silentConnections.add(socket));
+		[...this.#watches].map(watch => this.#watches.delete(watch));
+	}
+
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (this.#silentConnections.has(request.socket)) {
+			return;
+		}
+
 		const url = new URL(request.url ?? '/', 'http://store');
 		const body = await readJson(request);
 		if (url.pathname.startsWith('/control/')) {
