Cancel no running call for a more important one

The rule holds for any entry, so marking the calls of stopping ones would leave the time that gossip takes, and 502 for all others.

Preemption of running work is removed. A critical call waits at the head of the queue and gets the next slot that becomes free; the waiting less important calls are displaced first, as before. A refused call has not run and is answered 503, where a preempted one was answered 502 unknown. 'preempted' stays a known word for messages of nodes of earlier versions.

Failed before, pass now: the three tests of running-calls.test on a call whose entry began to stop before, whose entry begins to stop later, and on a serving node that stops itself.

--- a/packages/core/src/admission/admission-controller.ts
+++ b/packages/core/src/admission/admission-controller.ts
@@ -1,5 +1,6 @@
 /**
- * Admission control in front of one upstream: decides which calls run, wait, are preempted or are refused.
+ * Admission control in front of one upstream: decides which calls run, wait or are refused. A running call is
+ * cancelled only at its deadline, or at the request of its entry node.
  *
  * @module
  */
@@ -23,7 +24,7 @@
 /** A call counts as on time if it waited at most this share of the time until its latest start, and no longer than its kind takes. */
 const onTimeWaitShare = 0.25;
 
-/** A call whose wait exceeds this share of the time until its latest start preempts another call or is refused. */
+/** A call whose expected wait exceeds this share of the time until its latest start is refused. */
 const maximumWaitShare = 0.5;
 const criticalRank = rankOf(Importance.Critical);
 
@@ -32,7 +33,6 @@
 	readonly adaptiveLimit: boolean;
 	readonly importanceOrder: boolean;
 	readonly overloadLevel: boolean;
-	readonly preemption: boolean;
 	readonly doomedCheck: boolean;
 	readonly waitBound: boolean;
 };
@@ -41,7 +41,6 @@
 	adaptiveLimit: true,
 	importanceOrder: true,
 	overloadLevel: true,
-	preemption: true,
 	doomedCheck: true,
 	waitBound: true,
 };
@@ -117,7 +116,7 @@
 		}
 
 		this.#queue.add(work);
-		return [...this.#dispatchWaiting(now), ...this.#displaceOrPreempt(work, now)];
+		return [...this.#dispatchWaiting(now), ...this.#displaceLast()];
 	}
 
 	/**
@@ -137,11 +136,6 @@
 		return {result: CancelResult.NotRun, effects};
 	}
 
-	/** Protects a running call from preemption, because part of its answer has been sent. */
-	answerStarted(callId: string): void {
-		this.#running.markAnswering(callId);
-	}
-
 	/**
 	 * Releases the slot of a dispatched call and dispatches waiting calls.
 	 *
@@ -176,8 +170,7 @@
 		this.#tombstones.advance(now);
 		const expired = this.#refuseExpired(now);
 		const overdue = this.#running.overdueEntries(now).flatMap(entry => this.#cancelRunning(entry.work.callId, ErrorKind.TimedOut));
-		const preempted = this.#queue.entries.filter(work => this.#hasWaitedTooLong(work, now)).flatMap(work => this.#preemptFor(work));
-		return [...expired, ...overdue, ...preempted, ...this.#dispatchWaiting(now)];
+		return [...expired, ...overdue, ...this.#dispatchWaiting(now)];
 	}
 
 	#refusalOnArrival(work: Work, now: number): ErrorKind | undefined {
@@ -222,15 +215,14 @@
 		return work.guaranteedShare > 0 && this.#running.countOf(work.kind) < Math.ceil(work.guaranteedShare * this.capacity);
 	}
 
-	/** A call with a long expected wait is refused at once, unless it can preempt another call or no other node can take it. */
+	/** A call with a long expected wait is refused at once, unless no other node can take it. */
 	#wouldWaitTooLong(work: Work, now: number): boolean {
 		if (!this.#mechanisms.waitBound || work.lastResort || this.#running.size < this.capacity || this.#hasGuaranteedCapacity(work)) {
 			return false;
 		}
 
 		const slack = this.#latestStart(work, now) - now;
-		const isLate = this.#expectedWait(work) > slack * maximumWaitShare;
-		if (isLate && !this.#canPreemptFor(work)) {
+		if (this.#expectedWait(work) > slack * maximumWaitShare) {
 			this.#level.recordOutcome(false, work.arrivedAt);
 			return true;
 		}
@@ -247,37 +239,9 @@
 		return last !== undefined && rankOf(last.importance) < rankOf(work.importance);
 	}
 
-	#displaceOrPreempt(work: Work, now: number): AdmissionEffect[] {
-		const displaced: AdmissionEffect[] = this.#queue.length > this.#queueLimit && this.#queue.last !== undefined
-			? this.#refuseQueued([this.#queue.last], ErrorKind.Overloaded)
-			: [];
-		const isWaiting = this.#queue.entries.includes(work);
-		const preempted = isWaiting && this.#isExpectedWaitTooLong(work, now) ? this.#preemptFor(work) : [];
-		return [...displaced, ...preempted];
-	}
-
-	#isExpectedWaitTooLong(work: Work, now: number): boolean {
-		const slack = this.#latestStart(work, now) - now;
-		return this.#expectedWait(work) > slack * maximumWaitShare;
-	}
-
-	#hasWaitedTooLong(work: Work, now: number): boolean {
-		const slack = this.#latestStart(work, now) - work.arrivedAt;
-		return now - work.arrivedAt > slack * maximumWaitShare;
-	}
-
-	#canPreemptFor(work: Work): boolean {
-		return this.#mechanisms.preemption && this.#running.leastImportantBelow(rankOf(work.importance)) !== undefined;
-	}
-
-	#preemptFor(work: Work): AdmissionEffect[] {
-		const ahead = this.#queue.countAhead(work);
-		if (!this.#mechanisms.preemption || this.#running.cancelledCount >= ahead) {
-			return [];
-		}
-
-		const victim = this.#running.leastImportantBelow(rankOf(work.importance));
-		return victim === undefined ? [] : this.#cancelRunning(victim.work.callId, ErrorKind.Preempted);
+	/** Refuses the last waiting call when the queue is longer than its limit. */
+	#displaceLast(): AdmissionEffect[] {
+		return this.#queue.length > this.#queueLimit && this.#queue.last !== undefined ? this.#refuseQueued([this.#queue.last], ErrorKind.Overloaded) : [];
 	}
 
 	#cancelRunning(callId: string, reason: ErrorKind): AdmissionEffect[] {
--- a/packages/core/src/admission/running-work.ts
+++ b/packages/core/src/admission/running-work.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import {rankOf} from '../importance.js';
 import type {Work} from './work.js';
 
 export type RunningEntry = {
@@ -13,8 +12,6 @@
 	readonly inFlight: number;
 	/** Whether its cancellation was requested. It holds its slot until the dispatch to the upstream ends. */
 	isCancelled: boolean;
-	/** Whether part of its answer has been sent, so that it is not preempted. */
-	isAnswering: boolean;
 };
 
 /**
@@ -22,22 +19,16 @@
  *
  * @example
  * running.add(work, now);
- * running.leastImportantBelow(3); // the least important call that a critical call may preempt
+ * running.countOf('look');
  */
 export class RunningWork {
 	readonly #entries = new Map<string, RunningEntry>();
 	readonly #countByKind = new Map<string, number>();
-	#cancelledCount = 0;
 
 	get size(): number {
 		return this.#entries.size;
 	}
 
-	/** Number of calls whose cancellation was requested and that have not ended yet. */
-	get cancelledCount(): number {
-		return this.#cancelledCount;
-	}
-
 	get(callId: string): RunningEntry | undefined {
 		return this.#entries.get(callId);
 	}
@@ -48,7 +39,7 @@
 
 	add(work: Work, now: number): void {
 		this.#entries.set(work.callId, {
-			work, startedAt: now, inFlight: this.#entries.size + 1, isCancelled: false, isAnswering: false,
+			work, startedAt: now, inFlight: this.#entries.size + 1, isCancelled: false,
 		});
 		this.#countByKind.set(work.kind, this.countOf(work.kind) + 1);
 	}
@@ -61,7 +52,6 @@
 
 		this.#entries.delete(callId);
 		this.#countByKind.set(entry.work.kind, this.countOf(entry.work.kind) - 1);
-		this.#cancelledCount -= entry.isCancelled ? 1 : 0;
 		return entry;
 	}
 
@@ -73,31 +63,11 @@
 		}
 
 		entry.isCancelled = true;
-		this.#cancelledCount += 1;
 		return entry.work;
 	}
 
-	markAnswering(callId: string): void {
-		const entry = this.#entries.get(callId);
-		if (entry !== undefined) {
-			entry.isAnswering = true;
-		}
-	}
-
-	/** The least important idempotent call below the rank. Of equally important calls, the one that started last. */
-	leastImportantBelow(rank: number): RunningEntry | undefined {
-		return [...this.#entries.values()]
-			.filter(entry => entry.work.idempotent && !entry.isCancelled && !entry.isAnswering && rankOf(entry.work.importance) < rank)
-			.reduce<RunningEntry | undefined>((least, entry) => least === undefined || isLessImportant(entry, least) ? entry : least, undefined);
-	}
-
 	/** Idempotent calls that are still running at or after their deadline. */
 	overdueEntries(now: number): RunningEntry[] {
 		return [...this.#entries.values()].filter(entry => entry.work.idempotent && !entry.isCancelled && now >= entry.work.deadline);
 	}
 }
-
-function isLessImportant(left: RunningEntry, right: RunningEntry): boolean {
-	const difference = rankOf(left.work.importance) - rankOf(right.work.importance);
-	return difference < 0 || (difference === 0 && left.startedAt >= right.startedAt);
-}
--- a/packages/core/src/entry/entry-coordinator.ts
+++ b/packages/core/src/entry/entry-coordinator.ts
@@ -24,7 +24,7 @@
 /** Refusals of calls that have reached an upstream; an offer to another one counts against the limits. */
 const upstreamRefusalKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.UpstreamRefused, ErrorKind.NotServed]);
 
-/** Errors of calls that may have run and that count against the upstream, unlike a disconnected caller or a preemption. */
+/** Errors of calls that may have run and that count against the upstream, unlike a disconnected caller. */
 const upstreamFailureKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.UpstreamBroken, ErrorKind.TimedOut]);
 
 /** Refusals of a call with a key that occur while the primary of its key range changes; the same node may accept the call later. */
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -29,6 +29,7 @@
 	UpstreamRefused = 'upstream-refused',
 	NotReady = 'not-ready',
 	Draining = 'leaving',
+	/** Received only from nodes of earlier versions, which cancelled running calls for more important ones. */
 	Preempted = 'preempted',
 	Cancelled = 'cancelled',
 	TimedOut = 'timed-out',
--- a/packages/core/src/events/event.ts
+++ b/packages/core/src/events/event.ts
@@ -9,6 +9,7 @@
 	Admitted = 'admitted',
 	Refused = 'refused',
 	Retried = 'retried',
+	/** Received only from nodes of earlier versions, which cancelled running calls for more important ones. */
 	Preempted = 'preempted',
 	Cancelled = 'cancelled',
 	Answered = 'answered',
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -91,7 +91,6 @@
 		[ServingEffectType.AnswerStarted]: ({callId, head}, now) => this.#startAnswer(callId, head, now),
 		[ServingEffectType.AtMostOnce]: ({effect}) => this.#dependencies.atMostOnceEffects.translate(effect),
 		[ServingEffectType.Admitted]: ({frame}) => [this.#callEvent(EventType.Admitted, frame, frame.callId)],
-		[ServingEffectType.Preempted]: ({frame}) => [this.#callEvent(EventType.Preempted, frame, frame.callId)],
 		[ServingEffectType.Refused]: ({frame, work, reason}, now) => [this.#callEvent(EventType.Refused, frame, reason, this.#refusalCause(work, now))],
 	};
 
--- a/packages/core/src/serving/served-call.ts
+++ b/packages/core/src/serving/served-call.ts
@@ -37,7 +37,6 @@
 	AtMostOnce = 'once',
 	Admitted = 'admitted',
 	Refused = 'refused',
-	Preempted = 'preempted',
 }
 
 /** Effect that the node carries out. */
@@ -49,7 +48,6 @@
 		| {readonly type: ServingEffectType.Answer; readonly frame: AnswerFrame}
 		| {readonly type: ServingEffectType.AtMostOnce; readonly effect: AtMostOnceEffect}
 		| {readonly type: ServingEffectType.Admitted; readonly frame: CallFrame}
-		| {readonly type: ServingEffectType.Preempted; readonly frame: CallFrame}
 		| {readonly type: ServingEffectType.Refused; readonly frame: CallFrame; readonly work: Work; readonly reason: ErrorKind};
 
 /** State of one call between its arrival and its answer. */
--- a/packages/core/src/serving/serving-coordinator.ts
+++ b/packages/core/src/serving/serving-coordinator.ts
@@ -121,13 +121,12 @@
 		return {result, effects: this.#applyAdmissionEffects(effects, now)};
 	}
 
-	/** The upstream has started an answer whose body follows in a stream. The call keeps its slot and is no longer preempted. */
+	/** The upstream has started an answer whose body follows in a stream. The call keeps its slot. */
 	upstreamStarted(callId: string, head: AnswerHead): ServingEffect[] {
 		if (!this.#calls.has(callId)) {
 			return [];
 		}
 
-		this.#definition.admission.answerStarted(callId);
 		return [{type: ServingEffectType.AnswerStarted, callId, head}];
 	}
 
@@ -264,8 +263,7 @@
 	#cancelDispatch(call: ServedCall, reason: ErrorKind): ServingEffect[] {
 		call.cancelReason = reason;
 		const {callId} = call.frame;
-		const preempted: ServingEffect[] = reason === ErrorKind.Preempted ? [{type: ServingEffectType.Preempted, frame: call.frame}] : [];
-		return [...preempted, {type: ServingEffectType.CancelDispatch, callId}, {type: ServingEffectType.CancelNested, callId}];
+		return [{type: ServingEffectType.CancelDispatch, callId}, {type: ServingEffectType.CancelNested, callId}];
 	}
 
 	/** Ends a call that its entry node cancelled while the claim waits for the backup. It releases the slot and is never dispatched. */
