Bound the bytes that a node reads from the answer to its probe

Reported by other operators: a faulty instance sent bytes that were no answer, without end, and the machine that had called it ran out of memory. Calls to the upstream were guarded already (endless-answers.test, 23 kinds), the probe that a node sends at its start was not: undici reads reason phrases, empty lines, chunk extensions and interim answers without a limit.

The probe now uses the connections of the upstream client, which close after a bounded number of bytes.

--- a/packages/node/src/upstream-probe.ts
+++ b/packages/node/src/upstream-probe.ts
@@ -11,6 +11,7 @@
 import {findHeader} from './http-messages.js';
 import type {Logger} from './logs.js';
 import type {HeaderNames} from './settings.js';
+import {WatchedConnections} from './watched-connections.js';
 
 const probeTimeoutMilliseconds = 1000;
 const maximumAnswerBytes = 64 * 1024;
@@ -30,7 +31,9 @@
  * await probeUpstream({core, log, headers, upstream: {service: 'catalogue', address: '10.0.0.5:8080'}}, '/health');
  */
 export async function probeUpstream({core, log, headers, upstream}: UpstreamProbeDefinition, path: string): Promise<void> {
-	const agent = new Agent({connections: 1, pipelining: 1, connectTimeout: probeTimeoutMilliseconds});
+	const connections = new WatchedConnections(probeTimeoutMilliseconds);
+	connections.raiseByteLimit(maximumAnswerBytes);
+	const agent = new Agent({connections: 1, pipelining: 1, connect: connections.connect});
 	const result = await new Promise<ExchangeResult>(resolve => {
 		startExchange(agent, {
 			origin: `http://${upstream.address}`,
