Move the times of a planned stop to a module of their own

The times are now in stop-times, which imports nothing. A search over all packages finds no circle of imports any more; no value has changed.

--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -9,25 +9,13 @@
 import type {Logger} from './logs.js';
 import type {NodeInterface} from './node-interface.js';
 import type {PeersServer} from './peers-server.js';
+import {
+	closeTimeoutMilliseconds, finalAnswersMilliseconds, leaveGossipMilliseconds, pendingConnectionsMilliseconds,
+} from './stop-times.js';
 
 const pollMilliseconds = 20;
 const progressLogMilliseconds = 2000;
 
-/** Longest time between the announcement that the node has left and the close of its sockets, so that gossip can spread it. Calls still finish. */
-const leaveGossipMilliseconds = 600;
-
-/** Time in which calls that are still in flight at the end are cancelled and answered. It is part of `closeTimeoutMilliseconds`. */
-const finalAnswersMilliseconds = 150;
-
-/** Longest time in which the requests on pending connections are read and refused before the node stops listening. */
-const pendingConnectionsMilliseconds = 400;
-
-/** Longest wait for the store to revoke the lease. An unrevoked lease lapses by itself; the platform kills a slow process. */
-const closeTimeoutMilliseconds = 400;
-
-/** Shortest stop: the announcement and the close, in which no new requests are served. */
-export const minimumStopMilliseconds = leaveGossipMilliseconds + closeTimeoutMilliseconds;
-
 export type PlannedStopDefinition = {
 	readonly core: CoreTask;
 	readonly callersServer: CallersServer;
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -11,7 +11,7 @@
 import * as valibot from 'valibot';
 import {HeaderName} from './http-messages.js';
 import {LogFormat} from './logs.js';
-import {minimumStopMilliseconds} from './planned-stop.js';
+import {minimumStopMilliseconds} from './stop-times.js';
 
 const portNumber = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(1), valibot.maxValue(65_535));
 /** A port number, or HOST:PORT, of which only the port is used. */
