--- a/demo/src/soak-checks.ts
+++ b/demo/src/soak-checks.ts
@@ -232,7 +232,9 @@
 	const isRefusedKey = result.kind.isKeyed && body.includes(stoppingDetail) && nodeDisruptions.some(disruption =>
 		disruption.type === DisruptionType.Stop && disruption.entry === entry && endedAt >= disruption.startedAt + lingerMilliseconds && sentAt <= disruption.endedAt);
 	const hasFailed = phase === SoakPhase.RollingRestart && status !== undefined && status !== 200 && outcome !== 'not-run' && !isStarting && !isRefusedKey;
-	return hasFailed ? [`${id} at ${entry} failed during a planned stop: status ${status}, outcome ${outcome}, ${body.slice(0, 300)}`] : [];
+	// No running call is cancelled for a more important one, in any phase.
+	const isPreempted = body.includes('"kind":"preempted"');
+	return hasFailed || isPreempted ? [`${id} at ${entry} failed during a planned stop or was cut off: status ${status}, outcome ${outcome}, ${body.slice(0, 300)}`] : [];
 }
 
 /** After the linger time, a stopping node refuses the requests that it receives, and finishes those that it received before. */
--- a/demo/src/tests/soak-checks.test.ts
+++ b/demo/src/tests/soak-checks.test.ts
@@ -165,6 +165,7 @@
 	t.same(checksOf({nodeDisruptions: [{...stop, code: 1}]}), [Check.PlannedStop]);
 	t.same(checksOf({results: [refused('a', windows, {phase: SoakPhase.RollingRestart, status: 504, outcome: 'unknown'})]}), [Check.PlannedStop]);
 	t.same(checksOf({results: [served('a', payment, {phase: SoakPhase.RollingRestart, status: 502})]}), [Check.PlannedStop]);
+	t.same(checksOf({results: [refused('a', windows, {status: 502, outcome: 'unknown', body: '{"kind":"preempted"}'})]}), [Check.PlannedStop], 'at any time');
 	const notReady = refused('a', payment, {
 		phase: SoakPhase.RollingRestart, status: 502, outcome: 'unknown', body: '{"kind":"not-ready"}', sentAt: 1600, endedAt: 1610,
 	});
