Confirm the manifest through relays instead of a watcher in each region

One node now watches in short waits for the whole fleet (one in each 1,024); a relay in each region asks it, and the others ask their relay. A relay or the deputy that had to read the store itself stands in for five seconds, so a region that is cut off depends on one of its nodes. Relays keep a long watch for early news, on which the bound does not depend.

--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -385,6 +385,7 @@
 
 	#handleMembershipEffects(effects: Parameters<MembershipEffects['translate']>[0], now: number): NodeEffect[] {
 		if (this.#membershipEffects.hasMemberChanges(effects)) {
+			this.#manifestWatch.membersChanged();
 			this.#router.setMembers(this.#membership.members);
 			this.#atMostOnce.setMembers(this.#membership.members);
 		}
--- a/packages/node/src/store-task.ts
+++ b/packages/node/src/store-task.ts
@@ -5,7 +5,7 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	checkMemberText, formatMember, holderKey, ManifestRead, NodeEffectType, WriteResultType, type Holder, type Member, type RangeRecord, type Revision, type WriteResult,
+	checkMemberText, formatMember, holderKey, NodeEffectType, WriteResultType, type Holder, type Member, type RangeRecord, type Revision, type WriteResult,
 } from '@laburnumspool/core';
 import {
 	SwapResultType, type KeyedEntry, type Store, type StoreEntry,
@@ -31,6 +31,9 @@
 /** Time after the start in which a node that knows others expects the manifest from them. */
 const manifestFromPeersMilliseconds = 2000;
 
+/** Longest wait of one watch for the first manifest. */
+const firstWatchMilliseconds = 1000;
+
 /** Reads of the members after which a node that knows no other one is the only one. Nodes that start together find each other by then. */
 const memberReadsOfOnlyNode = 2;
 
@@ -96,7 +99,8 @@
 		this.#startedAt = this.#definition.clock();
 		void this.#repeat(async () => this.#renewLease(), () => this.#definition.leaseMilliseconds / 3);
 		void this.#repeat(async () => this.#readMembers(), () => this.#memberPollMilliseconds());
-		void this.#repeat(async () => this.#followManifest(), () => basePauseMilliseconds);
+		void this.#repeat(async () => this.#watchManifest(), () => basePauseMilliseconds);
+		void this.#repeat(async () => this.#takeRead() ? this.#readManifest() : undefined, () => basePauseMilliseconds);
 	}
 
 	/** Revokes the lease, so that other nodes need not wait until it lapses, and closes the store. */
@@ -186,31 +190,20 @@
 		return count === 0 ? memberPollWithoutPeersMilliseconds : Math.max(minimumMemberPollMilliseconds, count * memberPollMillisecondsPerMember);
 	}
 
-	/** Reads or watches the manifest in the store where that is due. The others receive new revisions and confirmations from their peers. */
-	async #followManifest(): Promise<void> {
-		const handlers: Readonly<Record<ManifestRead, () => Promise<void>>> = {
-			[ManifestRead.None]: async () => undefined,
-			[ManifestRead.Now]: async () => this.#readManifest(),
-			[ManifestRead.Watch]: async () => this.#watchManifest(),
-		};
-		await handlers[this.#dueRead()]();
-	}
-
 	/** Each call to the store is billed, so a node without a manifest reads it itself only where no other one is expected to send it. */
-	#dueRead(): ManifestRead {
+	#takeRead(): boolean {
 		const {core, clock} = this.#definition;
-		const {membership, manifest, manifestWatch} = core.core;
+		const {manifest, manifestWatch} = core.core;
 		if (manifest !== undefined) {
-			return manifestWatch.read(clock());
+			return manifestWatch.takeRead(clock());
 		}
 
-		const isOnlyNode = membership.others.length === 0 && this.#memberReads >= memberReadsOfOnlyNode;
-		if (isOnlyNode || (membership.others.length > 0 && manifestWatch.isFirstReader)) {
-			return ManifestRead.Watch;
-		}
+		return !this.#isFirstReader && clock() - Math.max(this.#startedAt, this.#manifestReadAt) >= manifestFromPeersMilliseconds;
+	}
 
-		const isOverdue = clock() - Math.max(this.#startedAt, this.#manifestReadAt) >= manifestFromPeersMilliseconds;
-		return isOverdue ? ManifestRead.Now : ManifestRead.None;
+	get #isFirstReader(): boolean {
+		const {membership, manifestWatch} = this.#definition.core.core;
+		return membership.others.length === 0 ? this.#memberReads >= memberReadsOfOnlyNode : manifestWatch.isFirstReader;
 	}
 
 	async #readManifest(): Promise<void> {
@@ -223,12 +216,17 @@
 		}
 	}
 
-	/** A watch that ends without a newer revision shows that there was none at the end of its wait. */
+	/** Watches the store at the nodes that do so. A watch that ends without a newer revision shows that there was none at its end. */
 	async #watchManifest(): Promise<void> {
 		const {core, store, manifestKey, clock} = this.#definition;
-		const waitMilliseconds = Math.floor(core.core.manifestWatch.watchMilliseconds);
+		const {manifest, manifestWatch} = core.core;
+		const waitMilliseconds = manifest === undefined && this.#isFirstReader ? firstWatchMilliseconds : manifestWatch.watchMilliseconds(clock());
+		if (waitMilliseconds === undefined || (manifest === undefined && !this.#isFirstReader)) {
+			return;
+		}
+
 		const sentAt = clock();
-		const entry = await store.watch(manifestKey, this.#lastReadVersion, waitMilliseconds);
+		const entry = await store.watch(manifestKey, this.#lastReadVersion, Math.floor(waitMilliseconds));
 		const hasWaited = entry === undefined && clock() - sentAt >= waitMilliseconds;
 		this.#manifestRead(entry, hasWaited ? sentAt + waitMilliseconds : sentAt);
 	}
