Leave the age of the manifest out of the metrics before it is known

StatsD has no value for infinity, which the age is before the first confirmation. The gauge is now absent until then.

--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -102,6 +102,7 @@
 }
 
 function gaugeValuesOf(core: NodeCore): Readonly<Record<string, number>> {
+	const manifestAge = core.manifestWatch.age(performance.now());
 	return {
 		limit: core.admission.capacity,
 		in_flight: core.admission.inFlight,
@@ -109,8 +110,7 @@
 		level: core.admission.load.level,
 		members: core.membership.others.length + 1,
 		revision: core.manifest?.number ?? 0,
-		// Infinite before the first confirmation.
-		manifest_age_milliseconds: core.manifestWatch.age(performance.now()),
+		...(Number.isFinite(manifestAge) ? {manifest_age_milliseconds: manifestAge} : {}),
 		claims: core.atMostOnce.memory.claims,
 	};
 }
