--- a/packages/protocol/src/tests/codecs.test.ts
+++ b/packages/protocol/src/tests/codecs.test.ts
@@ -85,6 +85,22 @@
 	t.same(decodeGossip(encodeGossip(message, 7_372_800_000_000_000)), {message, clock: 7_372_800_000_000_000});
 });
 
+test('a confirmation of a manifest travels with a gossip datagram, and an invalid one is left out and reported', async t => {
+	const message = {
+		type: GossipType.Acknowledgement, sequence: 0, sender: member, target: '', members: [], rumors: [],
+	};
+	const decode = (number: number, ageMilliseconds: number): readonly unknown[] => {
+		const problems: string[] = [];
+		const decoded = decodeGossip(encodeGossip({...message, manifest: {number, ageMilliseconds}}, 1), problem => problems.push(problem));
+		return [decoded.message.manifest, problems.length];
+	};
+
+	t.same(decode(9, 750), [{number: 9, ageMilliseconds: 750}, 0]);
+	t.same(decode(0, 750), [undefined, 1]);
+	t.same(decode(1.5, 750), [undefined, 1]);
+	t.same(decode(2 ** 60, 750), [undefined, 1]);
+});
+
 test('at-most-once messages are equal after encoding and decoding', async t => {
 	const address = {service: 's', range: 3, epoch: 4};
 	const id = {epoch: 4, sequence: 9};
