Let calls to a failing store back off

Only calls count now. The test 'a node logs an outage of the store once, and its calls back off until the store answers again' failed before (lines in turn) and passes: store-task 13 passed, 0 failed.

--- a/packages/node/src/store-task.ts
+++ b/packages/node/src/store-task.ts
@@ -51,6 +51,14 @@
 	readonly pullManifest: (from: readonly Member[]) => Promise<boolean>;
 };
 
+/** A call to the store that is repeated while it is due. */
+type PeriodicCall = {
+	readonly isDue: () => boolean;
+	readonly call: () => Promise<void>;
+	/** Time from the start of one call to the next. */
+	readonly pauseMilliseconds: () => number;
+};
+
 /**
  * Keeps the node's lease, reads members and manifests, and reads and writes key-range records. Periodic steps that fail
  * are retried with back-off; reads and writes of records are not retried here.
@@ -97,10 +105,11 @@
 
 	start(): void {
 		this.#startedAt = this.#definition.clock();
-		void this.#repeat(async () => this.#renewLease(), () => this.#definition.leaseMilliseconds / 3);
-		void this.#repeat(async () => this.#readMembers(), () => this.#memberPollMilliseconds());
-		void this.#repeat(async () => this.#watchManifest(), () => basePauseMilliseconds);
-		void this.#repeat(async () => this.#takeRead() ? this.#readManifest() : undefined, () => basePauseMilliseconds);
+		const always = (): boolean => true;
+		void this.#repeat({isDue: always, call: async () => this.#renewLease(), pauseMilliseconds: () => this.#definition.leaseMilliseconds / 3});
+		void this.#repeat({isDue: always, call: async () => this.#readMembers(), pauseMilliseconds: () => this.#memberPollMilliseconds()});
+		void this.#repeat({isDue: () => this.#watchMilliseconds !== undefined, call: async () => this.#watchManifest(), pauseMilliseconds: () => basePauseMilliseconds});
+		void this.#repeat({isDue: () => this.#takeRead(), call: async () => this.#readManifest(), pauseMilliseconds: () => basePauseMilliseconds});
 	}
 
 	/** Revokes the lease, so that other nodes need not wait until it lapses, and closes the store. */
@@ -216,15 +225,21 @@
 		}
 	}
 
-	/** Watches the store at the nodes that do so. A watch that ends without a newer revision shows that there was none at its end. */
-	async #watchManifest(): Promise<void> {
-		const {core, store, manifestKey, clock} = this.#definition;
+	/** Longest wait of the next watch; undefined at a node that does not watch the store. */
+	get #watchMilliseconds(): number | undefined {
+		const {core, clock} = this.#definition;
 		const {manifest, manifestWatch} = core.core;
-		const waitMilliseconds = manifest === undefined && this.#isFirstReader ? firstWatchMilliseconds : manifestWatch.watchMilliseconds(clock());
-		if (waitMilliseconds === undefined || (manifest === undefined && !this.#isFirstReader)) {
-			return;
+		if (manifest !== undefined) {
+			return manifestWatch.watchMilliseconds(clock());
 		}
 
+		return this.#isFirstReader ? firstWatchMilliseconds : undefined;
+	}
+
+	/** A watch that ends without a newer revision shows that there was none at its end. */
+	async #watchManifest(): Promise<void> {
+		const {store, manifestKey, clock} = this.#definition;
+		const waitMilliseconds = this.#watchMilliseconds ?? 0;
 		const sentAt = clock();
 		const entry = await store.watch(manifestKey, this.#lastReadVersion, Math.floor(waitMilliseconds));
 		const hasWaited = entry === undefined && clock() - sentAt >= waitMilliseconds;
@@ -284,18 +299,19 @@
 	}
 
 	/**
-	 * Repeats a step until the stop, with jittered pauses, and with exponential back-off while the store fails. Pauses run from
-	 * the start of the step, so that a call that timed out is repeated without a further wait.
+	 * Repeats a call until the stop, with jittered pauses, and with exponential back-off while the store fails. Pauses run from
+	 * the start of the call, so that one that timed out is repeated without a further wait. While it is not due, nothing is
+	 * known about the store.
 	 */
-	async #repeat(step: () => Promise<void>, pauseMilliseconds: () => number): Promise<void> {
+	async #repeat({isDue, call, pauseMilliseconds}: PeriodicCall): Promise<void> {
 		const {clock, random} = this.#definition;
 		while (!this.#stopController.signal.aborted) {
 			const startedAt = clock();
-			const isDone = await this.#attempt(async () => { // eslint-disable-line no-await-in-loop
-				await step();
+			const hasFailed = isDue() && await this.#attempt(async () => { // eslint-disable-line no-await-in-loop
+				await call();
 				return true;
-			});
-			const pause = (isDone === true ? pauseMilliseconds() : this.#backoffMilliseconds) * (0.75 + (random() / 2));
+			}) === undefined;
+			const pause = (hasFailed ? this.#backoffMilliseconds : pauseMilliseconds()) * (0.75 + (random() / 2));
 			await delay(Math.max(0, pause - (clock() - startedAt)), undefined, {signal: this.#stopController.signal}).catch(() => undefined); // eslint-disable-line no-await-in-loop
 		}
 	}
--- a/packages/node/src/tests/store-task.test.ts
+++ b/packages/node/src/tests/store-task.test.ts
@@ -29,13 +29,28 @@
 /** A store in memory that counts calls. All nodes share it; a watch ends at once when there is a manifest. */
 class StoreStub {
 	readonly calls = new Map<string, number>();
+	/** Whether every call fails. */
+	isDown = false;
 	readonly entries = new Map<string, KeyedEntry>();
 
 	count(name: string): void {
 		this.calls.set(name, (this.calls.get(name) ?? 0) + 1);
 	}
 
+	/** The store; its calls fail while it is down. */
 	open(): Store {
+		const store = this.#open();
+		return Object.fromEntries(Object.entries(store).map(([name, call]) => [name, async (...parameters: never[]) => {
+			if (this.isDown && name !== 'close') {
+				this.count('failed');
+				throw new Error('the store is down');
+			}
+
+			return (call as (...values: never[]) => unknown)(...parameters);
+		}])) as unknown as Store;
+	}
+
+	#open(): Store {
 		return {
 			get: async key => this.entries.get(key),
 			compareAndSwap: async (key, _version, value) => {
@@ -65,7 +80,7 @@
 
 type Started = {readonly core: CoreTask; readonly task: StoreTask};
 
-function startTask(store: StoreStub, own: Member, clock: () => number, leaseMilliseconds = 10_000): Started {
+function startTask(store: StoreStub, own: Member, clock: () => number, leaseMilliseconds = 10_000, log = silentLog): Started {
 	const core = new CoreTask({
 		own,
 		wallClock: () => 1000,
@@ -77,7 +92,7 @@
 		clockErrorMilliseconds: 1,
 	}, clock, 0, silentLog);
 	const task = new StoreTask({
-		core, store: store.open(), log: silentLog, clock, random: () => 0.5, leaseMilliseconds, manifestKey: 'manifest',
+		core, store: store.open(), log, clock, random: () => 0.5, leaseMilliseconds, manifestKey: 'manifest',
 		readManifest: entry => defaultDeployment.toRevision(entry.version, entry.value),
 		pullManifest: async () => false,
 	});
@@ -138,6 +153,30 @@
 	await Promise.all(started.map(async ({task}) => task.stop()));
 });
 
+test('a node logs an outage of the store once, and its calls back off until the store answers again', async t => {
+	const store = new StoreStub();
+	store.entries.set('manifest', {key: 'manifest', version: 1, value: createLookManifest(1000)});
+	const lines: string[] = [];
+	const record = (line: string): void => {
+		lines.push(line);
+	};
+
+	const {core, task} = startTask(store, createMember(0), () => performance.now(), 600, {...silentLog, warn: record, info: record});
+	while (core.core.manifest === undefined) {
+		await settle(stepMilliseconds);
+	}
+
+	store.isDown = true;
+	await settle(6000);
+	t.same(lines, ['the store is unavailable: the store is down']);
+	const failed = store.calls.get('failed') ?? 0;
+	t.ok(failed <= 40, `${failed} calls of four loops in 6 s`);
+	store.isDown = false;
+	await settle(1500);
+	t.same(lines.slice(1), ['the store is available again']);
+	await task.stop();
+});
+
 test('a node that is alone reads the manifest after its second look for others', async t => {
 	const store = new StoreStub();
 	store.entries.set('manifest', {key: 'manifest', version: 1, value: createLookManifest(1000)});
