Ignore announcements that cannot be ordered

Cause: UpstreamTracker took an announcement without a sequence as newer than any other, also after a withdrawal, so one of another writer made the upstream ready again. Once an upstream has stated its birth or a sequence, announcements without that field are now ignored; one that never stated them may return as before.

--- a/packages/core/src/tests/upstream.test.ts
+++ b/packages/core/src/tests/upstream.test.ts
@@ -35,6 +35,25 @@
 	t.ok(tracker.accept(announcement({instance: 'i-1', birth: 4000, sequence: 1})));
 });
 
+test('an announcement that lacks a field which orders it does not return a withdrawn upstream to service', async t => {
+	const tracker = new UpstreamTracker();
+	tracker.accept(announcement());
+	tracker.withdraw({instance: 'i-1', birth: 1000});
+	t.notOk(tracker.accept(announcement({sequence: undefined})));
+	t.notOk(tracker.accept(announcement({birth: undefined, sequence: 9})));
+	t.notOk(tracker.accept(announcement({instance: 'i-2', birth: undefined, sequence: undefined})));
+	t.equal(tracker.instance, 'i-1');
+	t.ok(tracker.accept(announcement({instance: 'i-2', birth: 4000, sequence: 1})));
+});
+
+test('an upstream that does not number its announcements may announce itself again after a withdrawal', async t => {
+	const tracker = new UpstreamTracker();
+	const plain = announcement({instance: undefined, birth: undefined, sequence: undefined});
+	t.ok(tracker.accept(plain));
+	t.ok(tracker.withdraw({instance: undefined, birth: undefined}));
+	t.ok(tracker.accept(plain));
+});
+
 test('a status that implies not-run is used only with the outcome not-run', async t => {
 	t.equal(statusOf(ErrorKind.TimedOut, Outcome.NotRun), 503);
 	t.equal(statusOf(ErrorKind.TimedOut, Outcome.Unknown), 504);
--- a/packages/core/src/upstream/upstream-tracker.ts
+++ b/packages/core/src/upstream/upstream-tracker.ts
@@ -8,7 +8,8 @@
 type Incarnation = {
 	readonly instance: string | undefined;
 	readonly birth: number | undefined;
-	sequence: number;
+	/** Undefined while no announcement had one. */
+	sequence: number | undefined;
 	isWithdrawn: boolean;
 };
 
@@ -47,18 +48,22 @@
 		}
 
 		const current = this.#current;
+		if (current !== undefined && !canBeOrdered(current, announcement)) {
+			return false;
+		}
+
 		if (current === undefined || !isSame(current, announcement)) {
 			if (current !== undefined && isEarlier(birth, current.birth)) {
 				return false;
 			}
 
 			this.#current = {
-				instance, birth, sequence: sequence ?? 0, isWithdrawn: false,
+				instance, birth, sequence, isWithdrawn: false,
 			};
 			return true;
 		}
 
-		const isOutOfOrder = sequence !== undefined && sequence <= current.sequence;
+		const isOutOfOrder = sequence !== undefined && sequence <= (current.sequence ?? 0);
 		const isAfterWithdrawal = current.isWithdrawn && sequence !== undefined;
 		if (isOutOfOrder || isAfterWithdrawal) {
 			return false;
@@ -86,6 +91,14 @@
 	}
 }
 
+/**
+ * Whether the announcement has the fields that order it after the earlier ones. An upstream that states its birth or numbers
+ * its announcements does so in each of them, so one without the field comes from another writer.
+ */
+function canBeOrdered(current: Incarnation, {birth, sequence}: Announcement): boolean {
+	return (current.birth === undefined || birth !== undefined) && (current.sequence === undefined || sequence !== undefined);
+}
+
 function isSame(current: Incarnation, {instance, birth}: Announcement): boolean {
 	const isBirthSame = current.birth === birth || current.birth === undefined || birth === undefined;
 	return current.instance === instance && isBirthSame;
