Read organisations and public routes in the manifest of routes

Change: `organisations` and the routes' `public` are parsed strictly for operators and read part by part at nodes. An invalid organisation, and the later of two that share a key, is left out with an issue; no message contains a value, which may be a key. A value that is no map leaves an empty list, so that it opens no route. QuotaGate is the interface between identification and quotas. The issue functions move to manifest/issues.ts, which model.ts exports as before, to avoid an import cycle at run time.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,6 +41,8 @@
 export * from './node/manifest-watch.js';
 export * from './node/node-core.js';
 export type * from './node/node-definition.js';
+export * from './organisations/organisation.js';
+export * from './organisations/quota-gate.js';
 export * from './at-most-once/attempt.js';
 export * from './at-most-once/claim-table.js';
 export * from './at-most-once/key-range.js';
--- a/packages/core/src/manifest/model.ts
+++ b/packages/core/src/manifest/model.ts
@@ -7,8 +7,11 @@
 import {
 	isIdempotent, maximumGuaranteedShare, nameSchema, requestKindSchema, integerBetween, type RequestPolicy,
 } from './request-policy.js';
+import type {Organisation} from '../organisations/organisation.js';
+import {toManifestIssue, type ManifestIssue} from './issues.js';
 import type {CallerLimits, InvalidRoute, Route} from './routes.js';
 
+export {formatIssue, toManifestIssue, type ManifestIssue} from './issues.js';
 export {isIdempotent, Semantics, type RequestPolicy} from './request-policy.js';
 
 const maximumAnswerBytes = 64 * 1024 * 1024;
@@ -39,6 +42,8 @@
 	readonly routes?: readonly Route[];
 	/** Routes that a node could not read. Their requests are refused. */
 	readonly invalidRoutes?: readonly InvalidRoute[];
+	/** Organisations, by whose keys callers' requests are identified. Without them no request needs a key. */
+	readonly organisations?: readonly Organisation[];
 	readonly limits?: CallerLimits;
 	/** Health check path of the upstreams, by service. */
 	readonly healthPaths?: Readonly<Record<string, string>>;
@@ -49,23 +54,6 @@
 /** Declaration of one service. */
 export type ServicePolicy = valibot.InferOutput<typeof serviceSchema>;
 
-/** One error in a manifest. */
-export type ManifestIssue = {
-	/** Keys and indexes from the root to the invalid value. */
-	readonly path: ReadonlyArray<string | number>;
-	readonly message: string;
-};
-
-/**
- * Path and message of an issue as text.
- *
- * @example
- * formatIssue({path: ['routes', 'pay', 'rank'], message: 'Expected a number'}); // 'routes.pay.rank: Expected a number'
- */
-export function formatIssue({path, message}: ManifestIssue): string {
-	return `${path.join('.')}: ${message}`;
-}
-
 /** Result of `safeParseManifest`. */
 export type ManifestResult
 	= | {readonly success: true; readonly manifest: Manifest}
@@ -82,12 +70,6 @@
 	return issues.length > 0 ? {success: false, issues} : {success: true, manifest: result.output};
 }
 
-/** @param base - path of the value that was validated */
-export function toManifestIssue(issue: valibot.BaseIssue<unknown>, base: ReadonlyArray<string | number> = []): ManifestIssue {
-	const path = (issue.path ?? []).map(item => item.key as string | number);
-	return {path: [...base, ...path], message: issue.message};
-}
-
 function findInconsistencies(manifest: Manifest): ManifestIssue[] {
 	return Object.entries(manifest.services).flatMap(([service, policy]) => [
 		...findShareIssues(service, policy),
--- a/packages/core/src/manifest/routes-manifest.ts
+++ b/packages/core/src/manifest/routes-manifest.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as valibot from 'valibot';
+import {organisationsSchema, readOrganisations, type Organisation} from '../organisations/organisation.js';
 import {
 	defaultAnswerBytes, defaultRememberSeconds, defaultRetryBudgetRatio, formatIssue, toManifestIssue, type Manifest, type ManifestIssue, type ManifestResult,
 } from './model.js';
@@ -24,6 +25,7 @@
 	version: versionSchema,
 	routes: valibot.record(valibot.string(), routeSchema),
 	services: valibot.record(valibot.string(), serviceSchema),
+	organisations: valibot.nullish(organisationsSchema),
 	limits: valibot.optional(callerLimitsSchema, {}),
 });
 
@@ -32,6 +34,7 @@
 	version: versionSchema,
 	routes: valibot.record(valibot.string(), valibot.unknown()),
 	services: valibot.record(valibot.string(), valibot.unknown()),
+	organisations: valibot.optional(valibot.unknown()),
 	limits: valibot.optional(valibot.unknown()),
 });
 
@@ -45,7 +48,12 @@
 
 type Services = Readonly<Record<string, {readonly healthPath?: string | undefined}>>;
 type Parts = {
-	readonly version: number | undefined; readonly routes: readonly Route[]; readonly invalidRoutes?: readonly InvalidRoute[]; readonly services: Services; readonly limits: CallerLimits;
+	readonly version: number | undefined;
+	readonly routes: readonly Route[];
+	readonly invalidRoutes?: readonly InvalidRoute[];
+	readonly services: Services;
+	readonly organisations: readonly Organisation[] | undefined;
+	readonly limits: CallerLimits;
 };
 type RouteResult = {readonly route?: Route; readonly invalidRoute?: InvalidRoute; readonly issues: readonly ManifestIssue[]};
 
@@ -58,12 +66,14 @@
 
 	const {routes: routeDocuments, services, limits, version} = result.output;
 	const entries = Object.entries(routeDocuments).map(([routeName, route]) => ({routeName, route: toRoute(routeName, route)}));
-	const issues = entries.flatMap(({routeName, route}) => findRouteIssues(routeName, route, services));
+	// Read from the document, since the record of the schema drops names such as `constructor` without an issue.
+	const {organisations, issues: organisationIssues} = readOrganisations(Reflect.get(document, 'organisations'));
+	const issues = [...entries.flatMap(({routeName, route}) => findRouteIssues(routeName, route, services)), ...organisationIssues];
 	return issues.length > 0
 		? {success: false, issues}
 		: {
 			success: true, manifest: toManifest({
-				version, routes: entries.flatMap(({route}) => route ?? []), services, limits,
+				version, routes: entries.flatMap(({route}) => route ?? []), services, organisations, limits,
 			}),
 		};
 }
@@ -75,8 +85,9 @@
 		return {success: false, issues: result.issues.map(issue => toManifestIssue(issue))};
 	}
 
-	const {version, routes: routeDocuments, services: serviceDocuments, limits: limitsDocument} = result.output;
+	const {version, routes: routeDocuments, services: serviceDocuments, organisations: organisationDocuments, limits: limitsDocument} = result.output;
 	const services = readServices(serviceDocuments);
+	const {organisations, issues: organisationIssues} = readOrganisations(organisationDocuments);
 	const limits = readLimits(limitsDocument);
 	const routes = Object.entries(routeDocuments).map(([routeName, routeDocument]) => readRoute(routeName, routeDocument, serviceDocuments));
 	const parts: Parts = {
@@ -84,12 +95,14 @@
 		routes: routes.flatMap(({route}) => route ?? []),
 		invalidRoutes: routes.flatMap(({invalidRoute}) => invalidRoute ?? []),
 		services: services.value,
+		organisations,
 		limits: limits.value,
 	};
-	return {success: true, manifest: toManifest(parts), issues: [...routes.flatMap(({issues}) => issues), ...services.issues, ...limits.issues]};
+	const issues = [...routes.flatMap(route => route.issues), ...services.issues, ...organisationIssues, ...limits.issues];
+	return {success: true, manifest: toManifest(parts), issues};
 }
 
-function toManifest({version, routes, invalidRoutes, services, limits}: Parts): Manifest {
+function toManifest({version, routes, invalidRoutes, services, organisations, limits}: Parts): Manifest {
 	const servicePolicies = Object.keys(services).map(service => [service, {answerBytesLimit: defaultAnswerBytes, requests: []}]);
 	return {
 		name: 'routes',
@@ -99,6 +112,7 @@
 		services: Object.fromEntries(servicePolicies) as Manifest['services'],
 		routes,
 		...(invalidRoutes === undefined ? {} : {invalidRoutes}),
+		...(organisations === undefined ? {} : {organisations}),
 		limits,
 		healthPaths: Object.fromEntries(Object.entries(services).flatMap(([service, {healthPath}]) => healthPath === undefined ? [] : [[service, healthPath]])),
 		...(version === undefined ? {} : {version}),
--- a/packages/core/src/manifest/routes.ts
+++ b/packages/core/src/manifest/routes.ts
@@ -35,6 +35,8 @@
 	/** Rank of importance; 0 is the most important. */
 	rank: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0)), 0),
 	attempts: attemptsSchema,
+	/** Whether requests need no key of an organisation. */
+	public: valibot.optional(valibot.boolean(), false),
 	service: valibot.optional(nonEmptyStringSchema),
 	split: valibot.optional(splitSchema),
 });
@@ -64,6 +66,8 @@
 	readonly name: string;
 	readonly services: readonly WeightedService[];
 	readonly policy: RequestPolicy;
+	/** Whether requests need no key of an organisation. */
+	readonly isPublic: boolean;
 };
 
 /** A route that a node could not read. Its requests are refused, and not matched by a shorter prefix. */
@@ -93,6 +97,7 @@
 		host,
 		prefix: document.prefix,
 		services,
+		isPublic: document.public,
 		policy: {
 			kind: name,
 			methods: [],
