Add the semantics upload, which run at most once

Cause: routes of uploads were read as unknown semantics, with an issue in the event of each adoption.

Change: Semantics.Upload is treated in every respect as at-most-once. Frames carry at-most-once for it, since nodes of earlier versions reject a frame whose semantics they do not know.

--- a/packages/core/src/entry/entry-coordinator.ts
+++ b/packages/core/src/entry/entry-coordinator.ts
@@ -9,6 +9,7 @@
 import {CancelResult} from '../admission/work.js';
 import {errorAnswers, ErrorKind, Outcome} from '../errors.js';
 import {Importance} from '../importance.js';
+import {frameSemantics} from '../manifest/request-policy.js';
 import type {
 	AnswerFrame, AnswerHead, CallError, CallFrame,
 } from '../messages.js';
@@ -294,7 +295,7 @@
 			requestId: request.requestId,
 			service: request.service,
 			kind: request.policy.kind,
-			semantics: request.policy.semantics,
+			semantics: frameSemantics(request.policy.semantics),
 			answerBytesLimit: request.answerBytesLimit,
 			importance: request.importance,
 			priority: request.priority,
--- a/packages/core/src/manifest/request-policy.ts
+++ b/packages/core/src/manifest/request-policy.ts
@@ -12,8 +12,12 @@
 	/** Idempotent. The body of an answer that exceeds a buffer is passed on while it arrives. */
 	Download = 'download',
 	AtMostOnce = 'at-most-once',
+	/** At-most-once. The body of a request may be large. */
+	Upload = 'upload',
 }
 
+const atMostOnceSemantics: ReadonlySet<Semantics> = new Set([Semantics.AtMostOnce, Semantics.Upload]);
+
 /**
  * Whether a request may be sent more than once.
  *
@@ -21,7 +25,12 @@
  * isIdempotent(Semantics.Download); // true
  */
 export function isIdempotent(semantics: Semantics): boolean {
-	return semantics !== Semantics.AtMostOnce;
+	return !atMostOnceSemantics.has(semantics);
+}
+
+/** Semantics by which nodes send a call to each other. Nodes of earlier versions reject a frame with semantics that they do not know. */
+export function frameSemantics(semantics: Semantics): Semantics {
+	return semantics === Semantics.Upload ? Semantics.AtMostOnce : semantics;
 }
 
 export const maximumWaitMilliseconds = 600_000;
