Read the key of an organisation at the entry, and name it upstream

Change: headers.organisationKey and headers.organisation are optional settings. The entry reads the key, counts the raw headers so that a doubled key is refused also where Node.js keeps the first value, and drops both headers from what it passes on. A 429 has retry-after with fractions of a second. Log lines have the organisation.

--- a/packages/node/src/caller-request.ts
+++ b/packages/node/src/caller-request.ts
@@ -6,7 +6,7 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {
-	ErrorKind, LaburnumspoolError, requestDigest, type CallerRequest,
+	ErrorKind, LaburnumspoolError, requestDigest, unusableKey, type CallerRequest,
 } from '@laburnumspool/core';
 import {filterHeaders, HeaderName} from './http-messages.js';
 import type {HeaderNames} from './settings.js';
@@ -49,6 +49,7 @@
 				body,
 				digest: key === undefined ? '' : requestDigest({method, target, body}),
 			},
+			organisationKey: headers.organisationKey === undefined ? undefined : readOrganisationKey(request, headers.organisationKey),
 			key,
 			timeoutMilliseconds: parseTimeout(headers.timeLeft, headerValue(request, headers.timeLeft)),
 			traceparent: headerValue(request, HeaderName.TraceParent),
@@ -57,9 +58,12 @@
 	};
 }
 
-/** Headers that the node sets itself on the way to the upstream. The request id is passed on outside the headers. */
-function headersToDrop({timeLeft, requestId, expectedInstance, callerService}: HeaderNames): ReadonlySet<string> {
-	const optionalNames = [requestId, expectedInstance, callerService].filter(name => name !== undefined);
+/**
+ * Headers that the node sets itself on the way to the upstream, and the key of the organisation. The request id is passed on
+ * outside the headers, and the core adds the name of the organisation.
+ */
+function headersToDrop({timeLeft, requestId, expectedInstance, callerService, organisationKey, organisation}: HeaderNames): ReadonlySet<string> {
+	const optionalNames = [requestId, expectedInstance, callerService, organisationKey, organisation].filter(name => name !== undefined);
 	return new Set([timeLeft, HeaderName.TraceParent, HeaderName.TraceState, ...optionalNames]);
 }
 
@@ -68,6 +72,20 @@
 	return !url.startsWith('/') || position === -1 ? undefined : {service: url.slice(1, position), target: url.slice(position)};
 }
 
+/**
+ * Key of the organisation; undefined without the header. A header that is sent twice is refused, and so is a list in one
+ * header, since a proxy may have joined two: the key would otherwise depend on which of them a reader takes.
+ */
+function readOrganisationKey({headers, rawHeaders}: IncomingMessage, name: string): string | undefined {
+	if (headers[name] === undefined) {
+		return undefined;
+	}
+
+	// Node.js keeps only the first of some repeated headers, such as authorization, so the raw headers are counted.
+	const [value = '', ...others] = rawHeaders.filter((_value, index) => index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === name);
+	return others.length > 0 || value.includes(',') ? unusableKey : value;
+}
+
 function headerValue(request: IncomingMessage, name: string): string | undefined {
 	const value = request.headers[name];
 	return Array.isArray(value) ? value.join(',') : value;
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -277,6 +277,7 @@
 		admissionMechanisms: {...allAdmissionMechanisms, adaptiveLimit: settings.admission.adaptiveLimit},
 		slotShare: settings.admission.slotShare,
 		retries: settings.retries,
+		organisationHeader: settings.headers.organisation,
 	};
 }
 
--- a/packages/node/src/event-log.ts
+++ b/packages/node/src/event-log.ts
@@ -29,13 +29,15 @@
 
 /** Logs an event, unless it belongs to every successful call. */
 export function logEvent(log: Logger, event: NodeEvent): void {
-	const {type, service, kind, request, detail, cause} = event;
+	const {
+		type, service, kind, organisation, request, detail, cause,
+	} = event;
 	const isSuccess = type === EventType.Answered && detail === Outcome.Ran;
 	if (unloggedEvents.has(type) || isSuccess) {
 		return;
 	}
 
 	log.info(eventMessages[type] ?? type, {
-		event: type, request, service, kind, detail, cause,
+		event: type, request, service, kind, organisation, detail, cause,
 	});
 }
--- a/packages/node/src/http-messages.ts
+++ b/packages/node/src/http-messages.ts
@@ -11,7 +11,9 @@
 } from '@laburnumspool/core';
 import {BodyBuffer} from './body-buffer.js';
 
-const retryAfterSeconds = 1;
+/** Statuses that are sent with `retry-after`. */
+const retryStatuses: ReadonlySet<number> = new Set([429, 503]);
+const defaultRetryAfterMilliseconds = 1000;
 
 /** Body of a request that has none. */
 export const emptyBody = Buffer.alloc(0);
@@ -136,11 +138,16 @@
 		'content-length': Buffer.byteLength(body),
 		[HeaderName.Outcome]: outcome,
 		[HeaderName.Attempts]: String(attempts),
-		...(status === 503 ? {'retry-after': String(retryAfterSeconds)} : {}),
+		...(retryStatuses.has(status) ? {'retry-after': formatRetryAfter(error)} : {}),
 	});
 	response.end(body);
 }
 
+/** Seconds with up to three decimals, never less than the given time. */
+function formatRetryAfter({retryAfterMilliseconds = defaultRetryAfterMilliseconds}: CallError): string {
+	return String(Math.ceil(retryAfterMilliseconds) / 1000);
+}
+
 /** Converts an error for callers and other nodes. An unexpected error is reported without its message, which may reveal internals. */
 export function toCallError(error: unknown): CallError {
 	return error instanceof LaburnumspoolError
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -32,6 +32,10 @@
 	timeLeft: valibot.optional(headerName, HeaderName.Timeout),
 	/** The caller's id of the request, which the upstream repeats in its answer. */
 	requestId: valibot.optional(headerName),
+	/** Key of the organisation that a caller sends. It is read at the entry node and never passed on. */
+	organisationKey: valibot.optional(headerName),
+	/** Name of the request's organisation, which the node sends to the upstream. It is removed from callers' requests. */
+	organisation: valibot.optional(headerName),
 	/** Incarnation of the upstream to which a request is addressed. */
 	expectedInstance: valibot.optional(headerName),
 	/** Service of the upstream beside the entry node. */
