Check, ship, show and describe manifests with organisations

Cause: operators declare organisations in the manifest, and the command printed the schema of one form of the manifest only.

--- a/packages/manifest/src/main.ts
+++ b/packages/manifest/src/main.ts
@@ -8,9 +8,12 @@
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {ErrorKind, LaburnumspoolError, manifestSchema} from '@laburnumspool/core';
+import {
+	ErrorKind, LaburnumspoolError, manifestSchema, routesManifestSchema,
+} from '@laburnumspool/core';
 import {toJsonSchema} from '@valibot/to-json-schema';
 import {cac} from 'cac';
+import * as valibot from 'valibot';
 import {ExitCode, runCommandLine, version} from './command-line.js';
 import {openHttpStore} from './http-store.js';
 import {parseManifest} from './manifest-document.js';
@@ -48,7 +51,8 @@
 
 async function checkFile(file: string): Promise<ExitCode> {
 	const manifest = parseManifest(await readManifestFile(file), file);
-	print(`${file}: manifest ${manifest.name} with ${Object.keys(manifest.services).length} services is valid`);
+	const organisations = manifest.organisations === undefined ? '' : ` and ${manifest.organisations.length} organisations`;
+	print(`${file}: manifest ${manifest.name} with ${Object.keys(manifest.services).length} services${organisations} is valid`);
 	return ExitCode.Success;
 }
 
@@ -152,8 +156,8 @@
 	.option('--timeout <seconds>', `Time limit for --wait (default: ${defaultWaitSeconds})`)
 	.action(shipFile);
 cli.command('show', 'Print the manifest in the store').option('--store <url>', 'URL of the store').action(showManifest);
-cli.command('schema', 'Print the JSON Schema of the manifest').action(() => {
-	print(JSON.stringify(toJsonSchema(manifestSchema, {errorMode: 'ignore'}), undefined, '\t'));
+cli.command('schema', 'Print the JSON Schema of both forms of the manifest').action(() => {
+	print(JSON.stringify(toJsonSchema(valibot.union([manifestSchema, routesManifestSchema]), {errorMode: 'ignore', typeMode: 'input'}), undefined, '\t'));
 });
 cli.help();
 cli.version(version);
--- a/packages/manifest/src/tests/manifest.test.ts
+++ b/packages/manifest/src/tests/manifest.test.ts
@@ -56,6 +56,31 @@
 	t.throws(() => parseManifest(wrong, 'wrong.yaml'), {kind: ErrorKind.InvalidManifest, message});
 });
 
+test('the example with organisations is valid, and an error in one states its place without its keys', async t => {
+	const text = readExample('organisations.yaml');
+	t.same(parseManifest(text, 'organisations.yaml').organisations?.map(({name}) => name), ['lakeside-market', 'corner-shop', 'own-staff']);
+	const changes: ReadonlyArray<readonly [before: string, after: string, path: string]> = [
+		['[example-1b77e0c9aa]', '[example-1b77e0c9aa, "example 2"]', 'corner-shop.keys.1'],
+		['[example-1b77e0c9aa]', '[example-1b77e0c9aa, example-d94a6637c1]', 'corner-shop.keys.1'],
+		['burst: 20', 'burst: much', 'corner-shop.burst'],
+		['rank: 1\n', 'rank: 0.5\n', 'lakeside-market.rank'],
+		['keys: [example-60f25be318]', 'keys: example-60f25be318', 'own-staff.keys'],
+	];
+	changes.map(([before, after, path]) => {
+		const wrong = text.replace(before, after);
+		const line = wrong.split('\n').findIndex(wrongLine => wrongLine.includes(after.trimEnd())) + 1;
+		const message = new RegExp(String.raw`^wrong\.yaml:${line}:\d+: organisations\.${path}: (?!.*example)[^\n]*$`, 'u');
+		return t.throws(() => parseManifest(wrong, 'wrong.yaml'), {kind: ErrorKind.InvalidManifest, message});
+	});
+});
+
+test('a manifest with organisations is shipped as it was written', async t => {
+	const store = createFakeStore();
+	const text = readExample('organisations.yaml');
+	t.same(await ship(store, createShipRequest({document: text})), {type: ShipResultType.Accepted, revision: 1});
+	t.equal(parseShippedManifest(store.entry!).document, text);
+});
+
 test('the error for text that is not YAML states file, line and column', async t => {
 	t.throws(() => parseManifest('name: [', 'broken.yaml'), {kind: ErrorKind.InvalidManifest, message: /^broken\.yaml:1:\d+: /u});
 });
