Validate each key of an organisation by one pattern

Cause: 20,000 keys are validated when a manifest with 5,000 organisations is read.

Change: one pattern bounds characters and length, in place of two checks.

--- a/packages/core/src/organisations/organisation.ts
+++ b/packages/core/src/organisations/organisation.ts
@@ -11,8 +11,11 @@
 const maximumKeyCharacters = 1024;
 const maximumNameCharacters = 128;
 
-/** Visible ASCII without the comma, by which HTTP joins the values of a header that is sent more than once. */
-const keyPattern = /^[\u0021-\u002B\u002D-\u007E]+$/u;
+/**
+ * Visible ASCII without the comma, by which HTTP joins the values of a header that is sent more than once. One pattern for
+ * characters and length, since a manifest may have 20,000 keys.
+ */
+const keyPattern = new RegExp(String.raw`^[\u0021-\u002B\u002D-\u007E]{1,${maximumKeyCharacters}}$`, 'u');
 
 /** The name is the value of a header towards the upstreams. */
 const namePattern = /^[\u0021-\u007E]+$/u;
@@ -22,7 +25,7 @@
 const rankMessage = 'Expected a whole number of at least 0';
 const rateMessage = 'Expected a number of at least 0';
 
-const keySchema = valibot.pipe(valibot.string(keyMessage), valibot.regex(keyPattern, keyMessage), valibot.maxLength(maximumKeyCharacters, keyMessage));
+const keySchema = valibot.pipe(valibot.string(keyMessage), valibot.regex(keyPattern, keyMessage));
 const rateSchema = valibot.optional(valibot.pipe(valibot.number(rateMessage), valibot.finite(rateMessage), valibot.minValue(0, rateMessage)), 0);
 
 /** Schema of the name of an organisation. */
