Test that a counted request is given back once and only as not-run

Cause: of ten injected faults the tests missed two: giving back a request whose outcome is unknown, and giving one back at each of two ends.

Change: a test of CountedRequests with all outcomes, each ended twice.

A third missed fault, a request that waits for its destination and whose caller leaves, cannot occur with organisations: only requests with an idempotency key wait there, and a manifest of routes has none.

--- a/packages/core/src/tests/organisations.test.ts
+++ b/packages/core/src/tests/organisations.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'tap';
 import {
-	allAdmissionMechanisms, AnnouncedState, ErrorKind, EventType, Importance, NodeCore, NodeEffectType, Outcome, priorityOf, safeReadManifest, Semantics, SendFailure, statusOf,
+	allAdmissionMechanisms, AnnouncedState, CountedRequests, ErrorKind, EventType, Importance, NodeCore, NodeEffectType, Outcome, priorityOf, safeReadManifest, Semantics, SendFailure, statusOf,
 	type CallerRequest, type CallFrame, type NodeDefinition, type NodeEffect, type QuotaGate, type Revision,
 } from '../index.js';
 import {createMember} from './fixtures.js';
@@ -293,6 +293,20 @@
 	t.equal(quotaGate.calls.filter(call => call.startsWith('give back')).length, 2, 'a running request is not given back');
 });
 
+/** Guards against tokens that are returned twice, or for work that may have run, and against entries that are kept for good. */
+test('only the first end of a counted request counts, and only not-run gives it back', async t => {
+	const quotaGate = createGate(10);
+	const counted = new CountedRequests(quotaGate);
+	const outcomes = [Outcome.Ran, Outcome.Unknown, Outcome.NotRun];
+	outcomes.map((_outcome, entryId) => counted.admit(entryId, `o${entryId}`, 0));
+	t.equal(counted.size, 3);
+	[1, 2].map(() => outcomes.map((outcome, entryId) => {
+		counted.ended(entryId, outcome, 10);
+		return entryId;
+	}));
+	t.same([counted.size, quotaGate.calls], [0, ['admit o0', 'admit o1', 'admit o2', 'give back o2']]);
+});
+
 test('the events of a refused call name its organisation', async t => {
 	const node = startNode(createRevision(1));
 	Array.from({length: 4}, () => send(node, 'p1'));
