--- a/packages/core/src/entry/entry-coordinator.ts
+++ b/packages/core/src/entry/entry-coordinator.ts
@@ -9,6 +9,7 @@
 import {CancelResult} from '../admission/work.js';
 import {errorAnswers, ErrorKind, Outcome} from '../errors.js';
 import {Importance} from '../importance.js';
+import {frameSemantics} from '../manifest/request-policy.js';
 import type {
 	AnswerFrame, AnswerHead, CallError, CallFrame,
 } from '../messages.js';
@@ -176,8 +177,7 @@
 		state.isCallerGone = true;
 		const {sentCall} = state;
 		if (sentCall === undefined) {
-			this.#calls.delete(entryId);
-			return [];
+			return this.#endUnanswered(state, this.#finalOutcome(state));
 		}
 
 		return [{type: EntryEffectType.CancelAtPeer, member: sentCall.destination.member, callId: sentCall.callId}];
@@ -295,7 +295,7 @@
 			requestId: request.requestId,
 			service: request.service,
 			kind: request.policy.kind,
-			semantics: request.policy.semantics,
+			semantics: frameSemantics(request.policy.semantics),
 			answerBytesLimit: request.answerBytesLimit,
 			importance: request.importance,
 			priority: request.priority,
@@ -318,8 +318,7 @@
 		}
 
 		if (state.isCallerGone) {
-			this.#calls.delete(state.request.entryId);
-			return [];
+			return this.#endUnanswered(state, this.#finalOutcome(state, outcome));
 		}
 
 		const errorAnswer = errorAnswers[error.kind];
@@ -366,11 +365,11 @@
 
 	#answerCaller(state: EntryState, outcome: Outcome, error: CallError | undefined, frame?: AnswerFrame): EntryEffect[] {
 		const {request} = state;
-		this.#calls.delete(request.entryId);
 		if (state.isCallerGone) {
-			return [];
+			return this.#endUnanswered(state, outcome);
 		}
 
+		this.#calls.delete(request.entryId);
 		const answer = {
 			outcome, attempts: 1 + request.retryQuota.spent, answer: frame?.answer, error,
 		};
@@ -379,6 +378,11 @@
 		}];
 	}
 
+	#endUnanswered({request: {entryId}}: EntryState, outcome: Outcome): EntryEffect[] {
+		this.#calls.delete(entryId);
+		return [{type: EntryEffectType.EndedUnanswered, entryId, outcome}];
+	}
+
 	#closeSentCall(state: EntryState): void {
 		if (state.sentCall !== undefined) {
 			this.#entryIdByCallId.delete(state.sentCall.callId);
