Answer 503 to nested calls whose parent is not known

Cause: after a restart of a node beside a running upstream, the nested calls of that upstream name a parent that the node does not know. They carry no key and were answered 401, which callers take as final, though the calls are proper.

They are now refused as not run with 503 (not-ready), which may be sent again.

--- a/packages/core/src/node/caller-requests.ts
+++ b/packages/core/src/node/caller-requests.ts
@@ -59,11 +59,12 @@
 
 	const {policy, isPublic} = match;
 	const traceContext = parseTraceContext(caller.traceparent, caller.tracestate);
+	const parentId = parentRequestId(caller.requestId ?? '');
 	const parent = mayBeNested(caller.organisationKey, context)
-		? context.parentOf(traceContext?.parentCallId) ?? context.parentOfRequest(parentRequestId(caller.requestId ?? ''))
+		? context.parentOf(traceContext?.parentCallId) ?? context.parentOfRequest(parentId)
 		: undefined;
 	const identity = identify({
-		key: caller.organisationKey, isPublic, route: policy.kind, parent: parent?.frame,
+		key: caller.organisationKey, isPublic, route: policy.kind, parent: parent?.frame, namesParent: parentId !== '' || traceContext?.parentCallId !== undefined,
 	}, context);
 	if (!identity.success) {
 		return {...identity, rejectedKind: policy.kind};
--- a/packages/core/src/organisations/identification.ts
+++ b/packages/core/src/organisations/identification.ts
@@ -29,6 +29,8 @@
 	readonly route: string;
 	/** Running call on whose behalf an upstream makes the request; undefined for a caller's request. */
 	readonly parent: Pick<CallFrame, 'request'> | undefined;
+	/** Whether the request names a parent call, be it known at this node or not. */
+	readonly namesParent: boolean;
 };
 
 /** Organisation of an accepted request. Name and rank are undefined when it has none. */
@@ -52,10 +54,11 @@
 }
 
 /**
- * Identifies the organisation of a request, or returns the error `unauthenticated`. No error contains the key.
+ * Identifies the organisation of a request, or returns the error `unauthenticated`. No error contains the key. A nested call
+ * whose parent is unknown, as after a restart of the node beside a running upstream, is proper and gets `not-ready`.
  *
  * @example
- * identify({key: 'k1', isPublic: false, route: 'orders', parent: undefined}, context);
+ * identify({key: 'k1', isPublic: false, route: 'orders', parent: undefined, namesParent: false}, context);
  * // {success: true, organisation: 'pulo780', rank: 1}
  */
 export function identify(request: IdentifiedRequest, context: IdentificationContext): IdentityResult {
@@ -91,7 +94,11 @@
 		: {success: true, organisation: organisationOf(parent.request.headers, organisationHeader), rank: undefined};
 }
 
-function identifyByKey({key, route}: IdentifiedRequest, organisations: OrganisationIndex): IdentityResult {
+function identifyByKey({key, route, namesParent}: IdentifiedRequest, organisations: OrganisationIndex): IdentityResult {
+	if (key === undefined && namesParent) {
+		return {success: false, error: {kind: ErrorKind.NotReady, detail: `Route ${route} is not public, and the parent call that the request names does not run at this node`}};
+	}
+
 	if (key === undefined) {
 		return unauthenticated(`Route ${route} is not public, and the request carries no key`);
 	}
