--- a/packages/core/src/node/caller-requests.ts
+++ b/packages/core/src/node/caller-requests.ts
@@ -59,12 +59,9 @@
 
 	const {policy, isPublic} = match;
 	const traceContext = parseTraceContext(caller.traceparent, caller.tracestate);
-	const parentId = parentRequestId(caller.requestId ?? '');
-	const parent = mayBeNested(caller.organisationKey, context)
-		? context.parentOf(traceContext?.parentCallId) ?? context.parentOfRequest(parentId)
-		: undefined;
+	const {parent, namesParent} = findParent(caller, traceContext, context);
 	const identity = identify({
-		key: caller.organisationKey, isPublic, route: policy.kind, parent: parent?.frame, namesParent: parentId !== '' || traceContext?.parentCallId !== undefined,
+		key: caller.organisationKey, isPublic, route: policy.kind, parent: parent?.frame, namesParent,
 	}, context);
 	if (!identity.success) {
 		return {...identity, rejectedKind: policy.kind};
@@ -149,6 +146,14 @@
 	return requestId.slice(0, Math.max(0, requestId.lastIndexOf('.')));
 }
 
+function findParent({organisationKey, requestId}: CallerRequest, traceContext: TraceContext | undefined, context: RequestContext): {readonly parent: ParentCall | undefined; readonly namesParent: boolean} {
+	const parentId = parentRequestId(requestId ?? '');
+	return {
+		parent: mayBeNested(organisationKey, context) ? context.parentOf(traceContext?.parentCallId) ?? context.parentOfRequest(parentId) : undefined,
+		namesParent: parentId !== '' || traceContext?.parentCallId !== undefined,
+	};
+}
+
 function toAction(traceContext: TraceContext | undefined, parent: ParentCall | undefined, context: RequestContext): EntryRequest['action'] {
 	return {
 		actionId: parent?.frame.action.actionId ?? traceContext?.traceId ?? context.newActionId(),
