--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -5,12 +5,12 @@
  *
  * @module
  */
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {
 	ErrorKind, Importance, LaburnumspoolError, Outcome, parseCallId, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
 } from '@laburnumspool/core';
 import {
-	isAny, isArray, isBoolean, isByteCount, isNonNegativeNumber, isNumber, isString, isStringArray, joinMessage, nullOr, parseHead, splitMessage, type Check,
+	isAny, isArray, isBoolean, isByteCount, isNonNegativeNumber, isNumber, isString, isStringArray, nullOr, parseHead, splitIntoParts, splitMessage, type Check, type MessageParts,
 } from './message-head.js';
 import type {StringTableDecoder, StringTableEncoder, EncodedString} from './string-table.js';
 
@@ -34,6 +34,8 @@
 	headroom: number, level: number, downstreamLevel: number, draining: boolean, revision: number, servedMilliseconds: number, clock: HybridTime,
 ];
 
+const emptyBody = Buffer.alloc(0);
+
 /** Longest time that a call can have left. */
 const maximumTimeLeftMilliseconds = 600_000;
 
@@ -100,9 +102,19 @@
  * @example
  * const content = encodeCall({frame, clock}, new StringTableEncoder());
  */
-export function encodeCall({frame, clock}: TimedCall, strings: StringTableEncoder): Buffer {
+export function encodeCall(call: TimedCall, strings: StringTableEncoder): Buffer {
+	return Buffer.concat(encodeCallParts(call, strings));
+}
+
+/**
+ * Encodes a call without copying its body.
+ *
+ * @example
+ * const [head, body] = encodeCallParts({frame, clock}, new StringTableEncoder());
+ */
+export function encodeCallParts({frame, clock}: TimedCall, strings: StringTableEncoder): MessageParts {
 	const {action, request} = frame;
-	return joinMessage([
+	return splitIntoParts([
 		...encodeCallId(frame.callId, strings),
 		action.actionId,
 		action.vendorTraceState,
@@ -129,7 +141,22 @@
 
 /** Decodes a call; throws `malformed`. */
 export function decodeCall(content: Buffer, strings: StringTableDecoder): TimedCall {
-	const {head, body} = splitMessage(content);
+	return setCallBody(decodeCallHead(content, strings), content);
+}
+
+/** Sets the body of a call, of which only the head was decoded, from its whole message. */
+export function setCallBody({frame, clock}: TimedCall, content: Buffer): TimedCall {
+	return {clock, frame: {...frame, request: {...frame.request, body: splitMessage(content).body}}};
+}
+
+/**
+ * Decodes a call from the beginning of its message; throws `malformed`. Its body is empty. The head of each call must be
+ * decoded exactly once, also that of a discarded call, because it may add strings to the table.
+ *
+ * @param content - the message as far as it has arrived, at least up to the end of its head
+ */
+export function decodeCallHead(content: Buffer, strings: StringTableDecoder): TimedCall {
+	const {head} = splitMessage(content);
 	const [
 		sender,
 		sequence,
@@ -171,15 +198,20 @@
 		lastResort,
 		revision,
 		request: {
-			method, target, headers: decodeStrings(headers, strings), digest, body,
+			method, target, headers: decodeStrings(headers, strings), digest, body: emptyBody,
 		},
 	};
 	return {clock, frame};
 }
 
-export function encodeAnswer({frame, clock}: TimedAnswer, strings: StringTableEncoder): Buffer {
+export function encodeAnswer(answer: TimedAnswer, strings: StringTableEncoder): Buffer {
+	return Buffer.concat(encodeAnswerParts(answer, strings));
+}
+
+/** Encodes an answer without copying its body. */
+export function encodeAnswerParts({frame, clock}: TimedAnswer, strings: StringTableEncoder): MessageParts {
 	const {answer, error, serving} = frame;
-	return joinMessage([
+	return splitIntoParts([
 		...encodeCallId(frame.callId, strings),
 		frame.outcome,
 		frame.coversAction,
@@ -196,7 +228,7 @@
 		serving.revision,
 		roundToMicroseconds(serving.servedMilliseconds),
 		clock,
-	], answer?.body ?? new Uint8Array());
+	], answer?.body ?? emptyBody);
 }
 
 /** Decodes an answer; throws `malformed`, also when the body is not as long as the head states. */
--- a/packages/protocol/src/message-head.ts
+++ b/packages/protocol/src/message-head.ts
@@ -11,15 +11,22 @@
 /** Whether a value of a head has the expected type. */
 export type Check = (value: unknown) => boolean;
 
-/** A message: the length of the head, the head as JSON, and the body. */
-export function joinMessage(head: unknown, body: Uint8Array): Buffer {
+/** A message in parts that follow each other on the wire: the length of the head with the head, and the body, which is not copied. */
+export type MessageParts = readonly [head: Buffer, body: Uint8Array];
+
+/** A message in parts: the length of the head with the head as JSON, and the body. */
+export function splitIntoParts(head: unknown, body: Uint8Array): MessageParts {
 	const headText = JSON.stringify(head);
 	const headBytes = Buffer.byteLength(headText);
-	const content = Buffer.allocUnsafe(headLengthBytes + headBytes + body.length);
-	content.writeUInt32BE(headBytes, 0);
-	content.write(headText, headLengthBytes);
-	content.set(body, headLengthBytes + headBytes);
-	return content;
+	const headPart = Buffer.allocUnsafe(headLengthBytes + headBytes);
+	headPart.writeUInt32BE(headBytes, 0);
+	headPart.write(headText, headLengthBytes);
+	return [headPart, body];
+}
+
+/** A message as one buffer, into which the body is copied. */
+export function joinMessage(head: unknown, body: Uint8Array): Buffer {
+	return Buffer.concat(splitIntoParts(head, body));
 }
 
 /** Splits a message; throws `malformed` when it ends within its head. */
--- a/packages/protocol/src/stream-codec.ts
+++ b/packages/protocol/src/stream-codec.ts
@@ -4,10 +4,10 @@
  *
  * @module
  */
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {AnswerHead} from '@laburnumspool/core';
 import {
-	isByteCount, isNumber, isString, isStringArray, joinMessage, nullOr, parseHead, splitMessage,
+	isByteCount, isNumber, isString, isStringArray, joinMessage, nullOr, parseHead, splitIntoParts, splitMessage, type MessageParts,
 } from './message-head.js';
 
 const noBody = new Uint8Array();
@@ -39,8 +39,13 @@
 }
 
 /** Encodes a part of a body. */
-export function encodeAnswerChunk({callId, offset, bytes}: AnswerChunk): Buffer {
-	return joinMessage([callId, offset], bytes);
+export function encodeAnswerChunk(chunk: AnswerChunk): Buffer {
+	return Buffer.concat(encodeAnswerChunkParts(chunk));
+}
+
+/** Encodes a part of a body without copying it. */
+export function encodeAnswerChunkParts({callId, offset, bytes}: AnswerChunk): MessageParts {
+	return splitIntoParts([callId, offset], bytes);
 }
 
 /** Decodes a part of a body; throws `malformed`. */
