Bound the memory of calls and answers on links between nodes

Cause: a serving node kept every body that other nodes sent it, and an entry node queued calls without bound before a link existed and within one turn of the event loop. Bodies were copied twice before they were written. A link whose other side ended the connection without a reset stayed open at the serving node, since the sockets of an HTTP server stay open for writing.

Change: PeersServer reserves the length of a large call once its head has arrived, and the length of a small body. Without room it discards the body, and the core answers overloaded and not run at once, remembers the call id, and refuses copies. The reservation ends with the call, not with its link. Answers are held while the upstream's exchange or a peer's frame arrives and until they are written. Large parts are written without a copy. Queued frames count as congestion, and a cancelled call counts until it is written.

The new tests of closed links failed without the handling of the end.

--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -190,11 +190,15 @@
 		return this.#flow.handleEntryEffects(this.#flow.entry.callerDisconnected(entryId), now);
 	}
 
-	/** Processes a call of another node. */
-	callArrived(frame: CallFrame, clock: HybridTime, now: number): NodeEffect[] {
+	/**
+	 * Processes a call of another node.
+	 *
+	 * @param refusal - error of a call whose body was discarded; it is answered as not run, and no copy of it ever runs
+	 */
+	callArrived(frame: CallFrame, clock: HybridTime, now: number, refusal?: CallError): NodeEffect[] {
 		this.#clock.observe(clock);
 		const pulls = this.#versions.observeRevision(frame.revision, now);
-		return concatenateEffects(pulls, this.#flow.handleServingEffects(this.#flow.serving.receive(frame, now), now));
+		return concatenateEffects(pulls, this.#flow.handleServingEffects(this.#flow.serving.receive(frame, now, refusal), now));
 	}
 
 	/** Processes the answer to a call of this node. */
--- a/packages/core/src/serving/serving-coordinator.ts
+++ b/packages/core/src/serving/serving-coordinator.ts
@@ -84,8 +84,12 @@
 		return this.parentOf(this.#callIdByRequestId.get(requestId));
 	}
 
-	/** Receives a call. A copy of an open call is dropped. A copy of an answered call is answered with an error and never runs. */
-	receive(frame: CallFrame, now: number): ServingEffect[] {
+	/**
+	 * Receives a call. A copy of an open call is dropped. A copy of an answered call is answered with an error and never runs.
+	 *
+	 * @param refusal - error of a call that this node has refused already and that must not run
+	 */
+	receive(frame: CallFrame, now: number, refusal?: CallError): ServingEffect[] {
 		if (this.#calls.has(frame.callId)) {
 			return [];
 		}
@@ -99,6 +103,10 @@
 			return this.#refuse(call, {kind: ErrorKind.NotServed, detail: `This node does not serve ${frame.service}/${frame.kind}`}, false, now);
 		}
 
+		if (refusal !== undefined) {
+			return this.#refuse(call, refusal, false, now);
+		}
+
 		return frame.key === undefined ? this.#admit(call, now) : this.#receiveAtMostOnce(call, now);
 	}
 
--- a/packages/node/src/core-task.ts
+++ b/packages/node/src/core-task.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	EventRing, NodeCore, NodeEffectType, type AnswerFrame, type AnswerHead, type AnswerPayload, type Announcement, type CallerRequest, type CallFrame, type CancelResult,
+	EventRing, NodeCore, NodeEffectType, type AnswerFrame, type AnswerHead, type AnswerPayload, type Announcement, type CallError, type CallerRequest, type CallFrame, type CancelResult,
 	type GossipMessage, type Holder, type HybridTime, type Member, type NodeDefinition, type NodeEffect, type AtMostOnceMessage, type Revision, type Rumor,
 	type SendFailure, type UpstreamFailure, type VersionedRecord, type Withdrawal, type WriteResult,
 } from '@laburnumspool/core';
@@ -50,7 +50,8 @@
 type MessageFields = {
 	[CoreMessageType.CallerRequested]: {readonly request: CallerRequest};
 	[CoreMessageType.CallerDisconnected]: {readonly entryId: number};
-	[CoreMessageType.CallArrived]: {readonly frame: CallFrame; readonly clock: HybridTime};
+	/** `refusal` is set for a call whose body was discarded. */
+	[CoreMessageType.CallArrived]: {readonly frame: CallFrame; readonly clock: HybridTime; readonly refusal?: CallError};
 	[CoreMessageType.CallStarted]: {readonly callId: string; readonly head: AnswerHead};
 	[CoreMessageType.CallAnswered]: {readonly frame: AnswerFrame; readonly clock: HybridTime};
 	[CoreMessageType.CallFailed]: {readonly callId: string; readonly failure: SendFailure};
@@ -89,7 +90,7 @@
 const messageHandlers: MessageHandlers = {
 	[CoreMessageType.CallerRequested]: (core, {request}, now) => core.callerRequested(request, now),
 	[CoreMessageType.CallerDisconnected]: (core, {entryId}, now) => core.callerDisconnected(entryId, now),
-	[CoreMessageType.CallArrived]: (core, {frame, clock}, now) => core.callArrived(frame, clock, now),
+	[CoreMessageType.CallArrived]: (core, {frame, clock, refusal}, now) => core.callArrived(frame, clock, now, refusal),
 	[CoreMessageType.CallStarted]: (core, {callId, head}, now) => core.callStarted(callId, head, now),
 	[CoreMessageType.CallAnswered]: (core, {frame, clock}, now) => core.callAnswered(frame, clock, now),
 	[CoreMessageType.CallFailed]: (core, {callId, failure}, now) => core.callFailed(callId, failure, now),
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -20,6 +20,7 @@
 import {logEvent} from './event-log.js';
 import {GossipSocket} from './gossip-socket.js';
 import {LogPart, type LoggerFactory, type Logger} from './logs.js';
+import {MemoryBudget} from './memory-budget.js';
 import {openMetrics} from './metrics.js';
 import {NodeInterface} from './node-interface.js';
 import {PeersClient} from './peers-client.js';
@@ -78,11 +79,12 @@
 	// Only control calls read stored events, so none are stored without them.
 	const core = new CoreTask(toDefinition(settings), clock, settings.controlCalls ? settings.limits.events : 0, openLogger(LogPart.Node));
 	const streams = new AnswerStreams();
+	const budget = new MemoryBudget(96 * 1024 * 1024);
 	const upstream = new UpstreamClient({
-		core, streams, headers: settings.headers, log: openLogger(LogPart.Upstream),
+		core, streams, budget, headers: settings.headers, log: openLogger(LogPart.Upstream),
 	});
 	const peersClient = new PeersClient({
-		core, streams, log: openLogger(LogPart.Peers), clock,
+		core, streams, budget, log: openLogger(LogPart.Peers), clock,
 	});
 	const gossip = new GossipSocket(core, openLogger(LogPart.Control));
 	const store = new StoreTask({
@@ -101,7 +103,9 @@
 	const nodeInterface = new NodeInterface({
 		core, host: settings.host, upstream: settings.upstream, metrics: metrics.text,
 	});
-	const peersServer = new PeersServer({core, streams, ...requestLimits});
+	const peersServer = new PeersServer({
+		core, streams, budget, ...requestLimits,
+	});
 	const callersServer = new CallersServer({
 		core,
 		streams,
--- a/packages/node/src/http-client.ts
+++ b/packages/node/src/http-client.ts
@@ -7,6 +7,7 @@
 import type {Dispatcher} from 'undici';
 import type {PausableSource} from './answer-streams.js';
 import {BodyBuffer} from './body-buffer.js';
+import type {MemoryBudget, Reservation} from './memory-budget.js';
 import type {WatchedConnection, WatchedConnections} from './watched-connections.js';
 
 /** A status line inside a head shows that the head was truncated and that the head of another answer follows. */
@@ -54,6 +55,8 @@
 	readonly totalMilliseconds: number;
 	/** Receives a large body while it arrives; without it, or without watched connections, every body is buffered. */
 	readonly stream?: ExchangeStream;
+	/** Counts the buffered body until the exchange has reported it. */
+	readonly budget?: MemoryBudget | undefined;
 };
 
 /** Status and headers of an answer whose body has begun to arrive. */
@@ -123,7 +126,9 @@
 	readonly #report: (result: ExchangeResult) => void;
 	readonly #connections: WatchedConnections | undefined;
 	readonly #stream: ExchangeStream | undefined;
+	readonly #budget: MemoryBudget | undefined;
 	#body = new BodyBuffer();
+	#held: Reservation | undefined;
 	#isStreamed = false;
 	/** Whether the stream was asked to start. It is asked once. */
 	#isStreamDecided = false;
@@ -136,9 +141,10 @@
 	#status = 0;
 	#headers: string[] = [];
 
-	constructor({maximumBytes, stream}: ExchangeRequest, report: (result: ExchangeResult) => void, connections: WatchedConnections | undefined) {
+	constructor({maximumBytes, stream, budget}: ExchangeRequest, report: (result: ExchangeResult) => void, connections: WatchedConnections | undefined) {
 		this.#maximumBytes = maximumBytes;
 		this.#stream = stream;
+		this.#budget = budget;
 		this.#report = report;
 		this.#connections = connections;
 	}
@@ -200,6 +206,7 @@
 		}
 
 		this.#body.add(chunk);
+		this.#hold(this.#body.length);
 	}
 
 	onResponseEnd(): void {
@@ -239,6 +246,7 @@
 			connection.countStreamed(this.#body.length);
 			stream.push(this.#body.bytes);
 			this.#body = new BodyBuffer();
+			this.#hold(0);
 		}
 
 		return this.#isStreamed;
@@ -262,7 +270,17 @@
 		}
 
 		this.#isReported = true;
-		this.#report(result);
+		try {
+			this.#report(result);
+		} finally {
+			this.#hold(0);
+		}
+	}
+
+	/** Holds this many bytes, in place of those held before. */
+	#hold(bytes: number): void {
+		this.#held?.release();
+		this.#held = bytes === 0 ? undefined : this.#budget?.hold(bytes);
 	}
 }
 
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -4,12 +4,11 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {request as sendRequest, type ClientRequest} from 'node:http';
 import {
 	CancelResult, ErrorKind, LaburnumspoolError, NodeEffectType, SendFailure, type CallFrame, type Member, type NodeEffect,
 } from '@laburnumspool/core';
 import {
-	decodeAnswer, decodeAnswerChunk, decodeAnswerHead, encodeAnswerCredit, encodeCall, FrameType, parseViewReply, StringTableDecoder, StringTableEncoder, type ViewRequest,
+	decodeAnswer, decodeAnswerChunk, decodeAnswerHead, encodeAnswerCredit, encodeCallParts, FrameType, parseViewReply, type ViewRequest,
 } from '@laburnumspool/protocol';
 import {Agent} from 'undici';
 import * as valibot from 'valibot';
@@ -17,12 +16,10 @@
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {startExchange, type ExchangeResult} from './http-client.js';
 import type {Logger} from './logs.js';
-import {linkProtocol, PeerLink} from './peer-link.js';
-
-const connectTimeoutMilliseconds = 500;
-
-/** The connect timeout is counted in parts, so that a pause of this process consumes one part however long it is. */
-const connectTimeoutParts = 5;
+import {MemoryBudget} from './memory-budget.js';
+import {
+	addressOf, connectTimeoutMilliseconds, PeerConnection, type PeerAddress,
+} from './peer-connection.js';
 
 const responseTimeoutMilliseconds = 1000;
 
@@ -35,39 +32,26 @@
 /** The active manifest of a peer. */
 export type PulledManifest = valibot.InferOutput<typeof manifestReplySchema>;
 
-type PeerAddress = Pick<Member, 'host' | 'peersPort'>;
 type SendEffect = Extract<NodeEffect, {type: NodeEffectType.SendCall}>;
 
-/** Connection to one node. It has no link until the upgrade completes. */
-type PeerConnection = {
-	readonly address: string;
-	readonly upgradeRequest: ClientRequest;
-	link: PeerLink | undefined;
-	/** Frames to be sent once the link exists. */
-	queuedFrames: Array<{readonly type: FrameType; readonly content: Buffer}>;
-	/** Ids of the calls without an answer. */
-	readonly openCallIds: Set<string>;
-	/** Bytes received of each streamed answer, by call id. */
-	readonly streamedBytes: Map<string, number>;
-	readonly encoder: StringTableEncoder;
-	readonly decoder: StringTableDecoder;
-};
-
 export type PeersClientDefinition = {
 	readonly core: CoreTask;
 	readonly streams: AnswerStreams;
 	readonly log: Logger;
 	readonly clock: () => number;
+	/** Counts the large frames that arrive and the unsent calls that were cancelled. Without it they are not counted. */
+	readonly budget?: MemoryBudget;
 };
 
 /**
  * Sends calls and cancellations to other nodes.
  *
  * @example
- * const peers = new PeersClient({core, streams, log, clock});
+ * const peers = new PeersClient({core, streams, log, clock, budget});
  */
 export class PeersClient {
 	readonly #definition: PeersClientDefinition;
+	readonly #budget: MemoryBudget;
 	readonly #connections = new Map<string, PeerConnection>();
 	readonly #agent = new Agent({
 		// Exchanges are rare, and an idle connection may have gone silent, so each exchange opens a connection.
@@ -92,6 +76,7 @@
 
 	constructor(definition: PeersClientDefinition) {
 		this.#definition = definition;
+		this.#budget = definition.budget ?? new MemoryBudget(Infinity);
 		definition.core.handle({
 			[NodeEffectType.SendCall]: effect => {
 				this.#sendCall(effect);
@@ -109,13 +94,13 @@
 	closeUnusedConnections(members: readonly Member[]): void {
 		const addresses = new Set(members.map(member => addressOf(member)));
 		const unused = [...this.#connections.values()].filter(({address, openCallIds}) => !addresses.has(address) && openCallIds.size === 0);
-		unused.map(({link}) => link?.close('the node is no longer a member'));
+		unused.map(connection => connection.close('the node is no longer a member'));
 	}
 
 	/** Sends pings over links with open calls and closes those that no longer answer. Must be called several times per second. */
 	checkLinks(): void {
 		const now = this.#definition.clock();
-		[...this.#connections.values()].map(connection => connection.link?.checkLiveness(connection.openCallIds.size > 0, now));
+		[...this.#connections.values()].map(connection => connection.checkLiveness(now));
 	}
 
 	/** Requests the manifest of a node; undefined when it has none, does not answer or sends a malformed one. */
@@ -134,112 +119,55 @@
 	}
 
 	async close(): Promise<void> {
-		[...this.#connections.values()].map(connection => this.#closeConnection(connection, 'this node is stopping'));
+		[...this.#connections.values()].map(connection => connection.close('this node is stopping'));
 		await this.#agent.destroy();
 	}
 
 	#sendCall({to, frame, clock}: SendEffect): void {
 		const connection = this.#connectionTo(to);
-		if (connection.link?.isCongested === true) {
+		if (connection.isCongested) {
 			this.#reportFailure(frame.callId, SendFailure.NotConnected);
 			return;
 		}
 
-		connection.openCallIds.add(frame.callId);
-		this.#sendFrame(connection, FrameType.Call, encodeCall({frame, clock}, connection.encoder));
+		connection.sendCall(frame.callId, encodeCallParts({frame, clock}, connection.encoder));
 	}
 
 	#sendCancellation(to: Member, callId: string): void {
-		const connection = this.#connections.get(addressOf(to));
-		if (connection !== undefined) {
-			this.#sendFrame(connection, FrameType.Cancellation, Buffer.from(callId));
-		}
-	}
-
-	#sendFrame(connection: PeerConnection, type: FrameType, content: Buffer): void {
-		if (connection.link === undefined) {
-			connection.queuedFrames.push({type, content});
-		} else {
-			connection.link.send(type, content);
-		}
+		this.#connections.get(addressOf(to))?.sendCancellation(callId, Buffer.from(callId));
 	}
 
 	#connectionTo(peer: PeerAddress): PeerConnection {
-		const address = addressOf(peer);
-		const existing = this.#connections.get(address);
+		const existing = this.#connections.get(addressOf(peer));
 		if (existing !== undefined) {
 			return existing;
 		}
 
-		const upgradeRequest = sendRequest({
-			host: peer.host, port: peer.peersPort, path: '/calls', headers: {connection: 'upgrade', upgrade: linkProtocol}, agent: false,
-		});
-		const connection: PeerConnection = {
-			address,
-			upgradeRequest,
-			link: undefined,
-			queuedFrames: [],
-			openCallIds: new Set(),
-			streamedBytes: new Map(),
-			encoder: new StringTableEncoder(),
-			decoder: new StringTableDecoder(),
-		};
-		this.#connections.set(address, connection);
-		let partsLeft = connectTimeoutParts;
-		const connectTimer = setInterval(() => {
-			partsLeft -= 1;
-			if (partsLeft === 0) {
-				clearInterval(connectTimer);
-				this.#closeConnection(connection, `no connection within ${connectTimeoutMilliseconds} ms`);
-			}
-		}, connectTimeoutMilliseconds / connectTimeoutParts);
-		upgradeRequest.once('upgrade', (_response, socket, head) => {
-			clearInterval(connectTimer);
-			this.#attachLink(connection, new PeerLink(socket, head, {
-				received: frame => {
-					connection.link?.recordReceipt(this.#definition.clock());
-					this.#frameHandlers[frame.type]?.(connection, frame.content);
-				},
-				closed: reason => {
-					this.#closeConnection(connection, reason);
-				},
-			}));
-		});
-		upgradeRequest.once('response', response => {
-			clearInterval(connectTimer);
-			response.resume();
-			this.#closeConnection(connection, `the node answered the upgrade with status ${response.statusCode}`);
-		});
-		upgradeRequest.on('error', error => {
-			clearInterval(connectTimer);
-			this.#closeConnection(connection, error.message);
+		const {clock} = this.#definition;
+		const connection = new PeerConnection({
+			peer,
+			budget: this.#budget,
+			clock,
+			received: (from, {type, content}) => {
+				this.#frameHandlers[type]?.(from, content);
+			},
+			closed: (closed, reason) => {
+				this.#removeConnection(closed, reason);
+			},
 		});
-		upgradeRequest.end();
+		this.#connections.set(connection.address, connection);
 		return connection;
 	}
 
-	#attachLink(connection: PeerConnection, link: PeerLink): void {
-		connection.link = link;
-		link.recordReceipt(this.#definition.clock());
-		connection.queuedFrames.map(({type, content}) => link.send(type, content));
-		connection.queuedFrames = [];
-	}
-
-	/** Closes a connection and fails its open calls. Without a link they fail as not connected, since their frames were never sent. */
-	#closeConnection(connection: PeerConnection, reason: string): void {
+	/** Fails the open calls of a closed connection. Without a link they fail as not connected, since their frames were never sent. */
+	#removeConnection(connection: PeerConnection, reason: string): void {
 		const {address, openCallIds} = connection;
-		if (this.#connections.get(address) !== connection) {
-			return;
-		}
-
 		this.#connections.delete(address);
-		connection.upgradeRequest.destroy();
-		connection.link?.close(reason);
 		if (openCallIds.size > 0) {
 			this.#definition.log.warn(`lost the connection to ${address} with ${openCallIds.size} open calls: ${reason}`, {event: 'link-lost'});
 		}
 
-		const failure = connection.link === undefined ? SendFailure.NotConnected : SendFailure.ConnectionLost;
+		const failure = connection.hasLink ? SendFailure.ConnectionLost : SendFailure.NotConnected;
 		[...openCallIds].map(callId => this.#reportFailure(callId, failure));
 		[...connection.streamedBytes.keys()].map(callId => {
 			this.#definition.streams.close(callId);
@@ -255,7 +183,7 @@
 
 		connection.streamedBytes.set(callId, 0);
 		this.#definition.streams.open(callId, new StreamCredit(bytes => {
-			this.#sendFrame(connection, FrameType.AnswerCredit, encodeAnswerCredit({callId, bytes}));
+			connection.send({type: FrameType.AnswerCredit, content: [encodeAnswerCredit({callId, bytes})]});
 		}));
 		this.#definition.core.post({type: CoreMessageType.CallStarted, callId, head});
 	}
@@ -331,7 +259,3 @@
 		});
 	}
 }
-
-function addressOf({host, peersPort}: PeerAddress): string {
-	return `${host}:${peersPort}`;
-}
--- a/packages/node/src/peers-server.ts
+++ b/packages/node/src/peers-server.ts
@@ -9,30 +9,31 @@
 } from 'node:http';
 import type {Duplex} from 'node:stream';
 import {
-	ErrorKind, LaburnumspoolError, NodeEffectType, type NodeEffect,
+	CancelResult, ErrorKind, LaburnumspoolError, NodeEffectType, type NodeEffect,
 } from '@laburnumspool/core';
 import {
-	decodeAnswerCredit, decodeCall, encodeAnswer, encodeAnswerChunk, encodeAnswerHead, FrameType, parseViewRequest, StringTableDecoder, StringTableEncoder, type ViewReply,
+	decodeAnswerCredit, decodeCall, decodeCallHead, encodeAnswerChunkParts, encodeAnswerHead, encodeAnswerParts, FrameType, parseViewRequest, setCallBody, StringTableDecoder, StringTableEncoder,
+	type LargeFrameReceiver, type StartedFrame, type TimedCall, type ViewReply,
 } from '@laburnumspool/protocol';
 import type {AnswerStreams} from './answer-streams.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
 	readBody, sendClientError, sendProblem, toCallError,
 } from './http-messages.js';
+import type {MemoryBudget, Reservation} from './memory-budget.js';
 import {linkProtocol, PeerLink} from './peer-link.js';
 
 const keepAliveMilliseconds = 600_000;
 const maximumViewBytes = 64 * 1024;
 
-/** Used when the connection that the reply would be sent on is closed. */
-const discardReply = (): void => undefined;
-
 type AnswerEffect = Extract<NodeEffect, {type: NodeEffectType.SendAnswer}>;
 type AnswerHeadEffect = Extract<NodeEffect, {type: NodeEffectType.SendAnswerHead}>;
 
 export type PeersServerDefinition = {
 	readonly core: CoreTask;
 	readonly streams: AnswerStreams;
+	/** Counts the bodies of calls, and the answers that are being sent. */
+	readonly budget: MemoryBudget;
 	readonly requestBytes: number;
 	readonly slowSenderMilliseconds: number;
 };
@@ -51,6 +52,8 @@
 	readonly #links = new Map<PeerLink, {readonly encoder: StringTableEncoder; readonly decoder: StringTableDecoder}>();
 	/** Link of each call without an answer. */
 	readonly #linksByCall = new Map<string, PeerLink>();
+	/** Reservation of each call with a body. It outlives the link while an upstream still runs the call. */
+	readonly #reservations = new Map<string, Reservation>();
 
 	/** Handlers of the frames that an entry node sends. Others are ignored. */
 	readonly #frameHandlers: Readonly<Partial<Record<FrameType, (link: PeerLink, content: Buffer, decoder: StringTableDecoder) => void>>> = {
@@ -138,6 +141,7 @@
 			received: frame => {
 				this.#frameHandlers[frame.type]?.(link, frame.content, stringTables.decoder);
 			},
+			startLargeFrame: frame => this.#startLargeFrame(link, stringTables.decoder, frame),
 			closed: () => {
 				this.#removeLink(link);
 			},
@@ -145,14 +149,78 @@
 		this.#links.set(link, stringTables);
 	}
 
+	/** Reserves the length of a large call before its body is kept. Without room, and for a copy of an open call, the body is discarded. */
+	#startLargeFrame(link: PeerLink, decoder: StringTableDecoder, {type, contentBytes, beginning}: StartedFrame<FrameType>): LargeFrameReceiver | undefined {
+		if (type !== FrameType.Call) {
+			return undefined;
+		}
+
+		const call = decodeCallHead(beginning, decoder);
+		const reservation = this.#linksByCall.has(call.frame.callId) ? undefined : this.#reserve(link, call, contentBytes);
+		return reservation === undefined
+			? undefined
+			: {
+				complete: content => {
+					this.#acceptCall(link, setCallBody(call, content), reservation);
+				},
+				abandon() {
+					reservation.release();
+				},
+			};
+	}
+
+	/** Receives a whole call. One without a body needs no reservation. */
 	#receiveCall(link: PeerLink, decoder: StringTableDecoder, content: Buffer): void {
-		const {frame, clock} = decodeCall(content, decoder);
-		if (this.#linksByCall.has(frame.callId)) {
+		const call = decodeCall(content, decoder);
+		const bodyBytes = call.frame.request.body.length;
+		if (this.#linksByCall.has(call.frame.callId)) {
 			return;
 		}
 
-		this.#linksByCall.set(frame.callId, link);
-		this.#definition.core.post({type: CoreMessageType.CallArrived, frame, clock});
+		const reservation = bodyBytes === 0 ? undefined : this.#reserve(link, call, bodyBytes);
+		if (bodyBytes === 0 || reservation !== undefined) {
+			this.#acceptCall(link, call, reservation);
+		}
+	}
+
+	/** Reserves bytes for a call; without room, the call is answered as not run. */
+	#reserve(link: PeerLink, {frame, clock}: TimedCall, bytes: number): Reservation | undefined {
+		const {core, budget} = this.#definition;
+		const reservation = budget.reserve(bytes, frame.importance);
+		if (reservation === undefined) {
+			const refusal = {kind: ErrorKind.Overloaded, detail: `The node holds ${budget.heldBytes} of at most ${budget.totalBytes} bytes of bodies and has no room for ${bytes} more`};
+			this.#linksByCall.set(frame.callId, link);
+			core.post({
+				type: CoreMessageType.CallArrived, frame, clock, refusal,
+			});
+		}
+
+		return reservation;
+	}
+
+	#acceptCall(link: PeerLink, {frame, clock}: TimedCall, reservation: Reservation | undefined): void {
+		const {callId} = frame;
+		const isOpen = this.#linksByCall.has(callId);
+		if (isOpen || this.#reservations.has(callId)) {
+			// The core drops this copy, so only the first one stays in memory.
+			reservation?.release();
+		} else if (reservation !== undefined) {
+			this.#reservations.set(callId, reservation);
+		}
+
+		if (isOpen) {
+			return;
+		}
+
+		this.#linksByCall.set(callId, link);
+		if (!this.#definition.core.post({type: CoreMessageType.CallArrived, frame, clock})) {
+			this.#releaseCall(callId);
+		}
+	}
+
+	#releaseCall(callId: string): void {
+		this.#reservations.get(callId)?.release();
+		this.#reservations.delete(callId);
 	}
 
 	/** Sends the head of an answer and, as they arrive, the chunks of its body. */
@@ -163,22 +231,30 @@
 		}
 
 		let offset = 0;
-		link.send(FrameType.AnswerHead, encodeAnswerHead({callId, head}));
+		link.send({type: FrameType.AnswerHead, content: [encodeAnswerHead({callId, head})]});
 		this.#definition.streams.attach(callId, {
 			write(bytes) {
-				link.send(FrameType.AnswerChunk, encodeAnswerChunk({callId, offset, bytes}));
+				link.send({type: FrameType.AnswerChunk, content: encodeAnswerChunkParts({callId, offset, bytes})});
 				offset += bytes.length;
 			},
 		});
 	}
 
+	/** The body of the answer is held until it is written or the link is closed. */
 	#sendAnswer({frame, clock}: AnswerEffect): void {
 		const link = this.#linksByCall.get(frame.callId);
 		const stringTables = link === undefined ? undefined : this.#links.get(link);
 		this.#linksByCall.delete(frame.callId);
-		if (stringTables !== undefined) {
-			link?.send(FrameType.Answer, encodeAnswer({frame, clock}, stringTables.encoder));
+		this.#releaseCall(frame.callId);
+		if (stringTables === undefined) {
+			return;
 		}
+
+		const answerBytes = frame.answer?.body.length ?? 0;
+		const held = answerBytes === 0 ? undefined : this.#definition.budget.hold(answerBytes);
+		link?.send({
+			type: FrameType.Answer, content: encodeAnswerParts({frame, clock}, stringTables.encoder), ...(held === undefined ? {} : {written: held.release}),
+		});
 	}
 
 	#receiveCancellation(link: PeerLink, callId: string): void {
@@ -186,17 +262,28 @@
 			type: CoreMessageType.CancelArrived,
 			callId,
 			reply(result) {
-				link.send(FrameType.CancellationReply, Buffer.from(`${result} ${callId}`));
+				link.send({type: FrameType.CancellationReply, content: [Buffer.from(`${result} ${callId}`)]});
 			},
 		});
 	}
 
-	/** Cancels the open calls of a link that is closed, since their answers can no longer be delivered. */
+	/**
+	 * Cancels the open calls of a link that is closed, since their answers can no longer be delivered. A call that an upstream
+	 * still runs keeps its reservation until it ends.
+	 */
 	#removeLink(link: PeerLink): void {
 		this.#links.delete(link);
 		[...this.#linksByCall].filter(([, owner]) => owner === link).map(([callId]) => {
 			this.#linksByCall.delete(callId);
-			return this.#definition.core.post({type: CoreMessageType.CancelArrived, callId, reply: discardReply});
+			return this.#definition.core.post({
+				type: CoreMessageType.CancelArrived,
+				callId,
+				reply: result => {
+					if (result === CancelResult.NotRun) {
+						this.#releaseCall(callId);
+					}
+				},
+			});
 		});
 	}
 
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -16,6 +16,7 @@
 	filterHeaders, findHeader, findHeaders, HeaderName,
 } from './http-messages.js';
 import type {Logger} from './logs.js';
+import type {MemoryBudget} from './memory-budget.js';
 import type {HeaderNames} from './settings.js';
 import {WatchedConnections} from './watched-connections.js';
 
@@ -44,18 +45,21 @@
 	readonly streams: AnswerStreams;
 	readonly headers: HeaderNames;
 	readonly log: Logger;
+	/** Counts the bodies of answers while they are buffered. Without it they are not counted. */
+	readonly budget?: MemoryBudget;
 };
 
 /**
  * Sends calls to the upstream, over at most as many connections as the upstream announced.
  *
  * @example
- * const upstream = new UpstreamClient({core, streams, headers: settings.headers, log});
+ * const upstream = new UpstreamClient({core, streams, headers: settings.headers, log, budget});
  */
 export class UpstreamClient {
 	readonly #core: CoreTask;
 	readonly #streams: AnswerStreams;
 	readonly #log: Logger;
+	readonly #budget: MemoryBudget | undefined;
 	readonly #headers: HeaderNames;
 	/** Headers of answers that are meant for this node, or that the entry node sets itself. */
 	readonly #strippedHeaders: ReadonlySet<string>;
@@ -65,9 +69,10 @@
 	#poolKey = '';
 	#instance: string | undefined;
 
-	constructor({core, streams, headers, log}: UpstreamClientDefinition) {
+	constructor({core, streams, headers, log, budget}: UpstreamClientDefinition) {
 		this.#core = core;
 		this.#streams = streams;
+		this.#budget = budget;
 		this.#headers = headers;
 		this.#strippedHeaders = new Set([headers.requestId, headers.load].filter(name => name !== undefined));
 		this.#log = log;
@@ -131,6 +136,7 @@
 			headers,
 			body: request.body,
 			maximumBytes: answerBytesLimit,
+			budget: this.#budget,
 			timeoutMilliseconds,
 			totalMilliseconds: timeoutMilliseconds,
 			...(canStream ? {stream: this.#createStream(effect)} : {}),
