--- a/packages/core/src/node/caller-requests.ts
+++ b/packages/core/src/node/caller-requests.ts
@@ -146,7 +146,9 @@
 	return requestId.slice(0, Math.max(0, requestId.lastIndexOf('.')));
 }
 
-function findParent({organisationKey, requestId}: CallerRequest, traceContext: TraceContext | undefined, context: RequestContext): {readonly parent: ParentCall | undefined; readonly namesParent: boolean} {
+type NamedParent = {readonly parent: ParentCall | undefined; readonly namesParent: boolean};
+
+function findParent({organisationKey, requestId}: CallerRequest, traceContext: TraceContext | undefined, context: RequestContext): NamedParent {
 	const parentId = parentRequestId(requestId ?? '');
 	return {
 		parent: mayBeNested(organisationKey, context) ? context.parentOf(traceContext?.parentCallId) ?? context.parentOfRequest(parentId) : undefined,
