Choose serving nodes by the expected end of a call

Cause: the choice by headroom ignores that instances differ in speed, turn slow for some 600 ms, and that some calls take seven times as long.

Nothing is enabled yet: the router has no reports, and the choice and its use of random numbers are as before.

--- a/packages/core/src/admission/running-work.ts
+++ b/packages/core/src/admission/running-work.ts
@@ -29,6 +29,11 @@
 		return this.#entries.size;
 	}
 
+	/** Running calls in the order of their dispatch. */
+	get entries(): readonly RunningEntry[] {
+		return [...this.#entries.values()];
+	}
+
 	get(callId: string): RunningEntry | undefined {
 		return this.#entries.get(callId);
 	}
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -6,6 +6,7 @@
 import type {ErrorKind, Outcome} from './errors.js';
 import type {Importance} from './importance.js';
 import type {AdmissionLoad} from './admission/admission-controller.js';
+import type {WorkReport} from './admission/work-left.js';
 import type {Semantics} from './manifest/request-policy.js';
 
 /** Alternating header names and values, as received. */
@@ -81,6 +82,8 @@
 	readonly revision: number;
 	/** Time from the arrival of the call at the serving node to its answer. */
 	readonly servedMilliseconds: number;
+	/** Work and speed of the upstream; absent unless cost-aware placement is enabled and the upstream reports its speed. */
+	readonly work?: WorkReport;
 };
 
 /** An error that is sent instead of an upstream's answer. */
--- a/packages/core/src/routing/peer-loads.ts
+++ b/packages/core/src/routing/peer-loads.ts
@@ -5,6 +5,7 @@
  */
 import type {Member} from '../membership/member.js';
 import type {ServingState} from '../messages.js';
+import type {PeerRoom} from './expected-end.js';
 
 const reportValidityMilliseconds = 1000;
 
@@ -73,6 +74,17 @@
 		return load.headroom - (load.outstanding - load.outstandingAtReport);
 	}
 
+	/** Room at the peer for further calls. Without a recent report the headroom is the assumed one. */
+	room(peer: string, now: number): PeerRoom {
+		const load = this.#peers.get(peer);
+		return {
+			slots: load?.slots ?? 0,
+			headroom: this.headroom(peer, now),
+			sentSinceReport: Math.max(0, (load?.outstanding ?? 0) - (load?.outstandingAtReport ?? 0)),
+			linkMilliseconds: load?.linkMilliseconds ?? 0,
+		};
+	}
+
 	/** Overload levels of the peer for the kind; undefined without a recent report. */
 	level(peer: string, kind: string, now: number): PeerLevel | undefined {
 		const entry = this.#peers.get(peer)?.levels.get(kind);
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -9,6 +9,7 @@
 import {
 	chooseCandidates, Distance, distances, type Candidate,
 } from './candidates.js';
+import {ExpectedEnds} from './expected-end.js';
 import {PeerLoads} from './peer-loads.js';
 
 const minimumKnownLevels = 2;
@@ -18,6 +19,19 @@
 /** Share of calls that may go to an unresponsive peer, to detect its recovery. */
 const trialShare = 0.03;
 
+/**
+ * Cost of leaving the nearest distance with headroom, in addition to the time of the link: traffic between failure domains is
+ * billed by volume, so the expected end elsewhere has to be sooner by this share and this time.
+ */
+const distanceCostShare = 0.25;
+const distanceCostMilliseconds = 2;
+
+/**
+ * Expected ends that differ by less than this share count as equal, and headroom decides. The learned work of equal upstreams
+ * differs by some percent under heavy-tailed work, and a strict comparison would send most calls to the same ones.
+ */
+const equalEndsShare = 0.1;
+
 /** Properties of a call that determine its route. */
 export type RoutingRequest = {
 	readonly service: string;
@@ -28,8 +42,20 @@
 	readonly crossRegion: boolean;
 	/** Names of nodes that refused this call or failed to answer it. */
 	readonly excluded: ReadonlySet<string>;
+	/** Length of the body, for the likely cost of the call; 0 by default. */
+	readonly bodyBytes?: number;
 };
 
+/** Rule by which a serving node was chosen while cost-aware placement was enabled. */
+export enum PlacementRule {
+	/** More headroom of two, because one of them has no recent report of its work. */
+	Headroom = 'headroom',
+	/** Sooner expected end of two at the nearest distance with headroom. */
+	ExpectedEnd = 'expected-end',
+	/** An expected end beyond the nearest distance that was sooner by more than the cost of the distance. */
+	LeftNearest = 'left-nearest',
+}
+
 export enum RouteType {
 	/** Send the call to the candidate. */
 	Send = 'send',
@@ -45,6 +71,8 @@
 	= | {readonly type: RouteType.Send; readonly candidate: Candidate}
 		| {readonly type: RouteType.Shed | RouteType.Exhausted | RouteType.None};
 
+type RuledChoice = {readonly candidate: Candidate; readonly rule: PlacementRule};
+
 /**
  * Routes calls to the nodes that serve their service.
  *
@@ -55,14 +83,23 @@
  */
 export class Router {
 	readonly loads = new PeerLoads();
+	/** Expected ends of calls; undefined while cost-aware placement is disabled. */
+	readonly ends: ExpectedEnds | undefined;
+	readonly #choices = new Map<PlacementRule, number>();
 	readonly #own: {readonly name: string; readonly location: Location};
 	readonly #random: () => number;
 	#members: readonly Member[] = [];
 	#candidates = new Map<string, Candidate[]>();
 
-	constructor(own: {readonly name: string; readonly location: Location}, random: () => number) {
+	constructor(own: {readonly name: string; readonly location: Location}, random: () => number, isCostAware = false) {
 		this.#own = own;
 		this.#random = random;
+		this.ends = isCostAware ? new ExpectedEnds() : undefined;
+	}
+
+	/** Number of choices by rule; empty while cost-aware placement is disabled. */
+	get choices(): ReadonlyMap<PlacementRule, number> {
+		return this.#choices;
 	}
 
 	setMembers(members: readonly Member[]): void {
@@ -71,7 +108,9 @@
 		});
 		this.#members = members;
 		this.#candidates = new Map();
-		this.loads.keepOnly(new Set(members.map(member => member.name)));
+		const names = new Set(members.map(member => member.name));
+		this.loads.keepOnly(names);
+		this.ends?.keepOnly(names);
 	}
 
 	candidates(service: string): readonly Candidate[] {
@@ -105,7 +144,7 @@
 		}
 
 		const responsive = this.#responsive(admitting, request.kind, now);
-		const candidate = this.#nearestWithHeadroom(responsive, now) ?? this.#nearestWithHeadroom(admitting, now) ?? this.#leastLoaded(responsive, now);
+		const candidate = this.#nearestWithHeadroom(responsive, request, now) ?? this.#nearestWithHeadroom(admitting, request, now) ?? this.#leastLoaded(responsive, request, now);
 		return {type: RouteType.Send, candidate};
 	}
 
@@ -126,7 +165,7 @@
 	/** The one with more headroom of two random candidates, including those that already refused the call. */
 	mostHeadroom(request: RoutingRequest, now: number): Candidate | undefined {
 		const all = this.#eligible(request);
-		return all.length === 0 ? undefined : this.#leastLoaded(this.#responsive(all, request.kind, now), now);
+		return all.length === 0 ? undefined : this.#leastLoaded(this.#responsive(all, request.kind, now), request, now);
 	}
 
 	#eligible(request: RoutingRequest): Candidate[] {
@@ -146,28 +185,64 @@
 		return responsive.length === 0 || isTrial ? candidates : responsive;
 	}
 
-	#nearestWithHeadroom(candidates: readonly Candidate[], now: number): Candidate | undefined {
+	#nearestWithHeadroom(candidates: readonly Candidate[], request: RoutingRequest, now: number): Candidate | undefined {
 		const withHeadroom = candidates.filter(({member}) => this.loads.headroom(member.name, now) > 0 && !this.loads.isUnreachable(member.name, now));
-		const nearest = distances.map(distance => withHeadroom.filter(candidate => candidate.distance === distance)).find(group => group.length > 0);
-		return nearest === undefined ? undefined : this.#betterOfTwo(nearest, now);
+		const [nearest, ...farther] = distances.map(distance => withHeadroom.filter(candidate => candidate.distance === distance)).filter(group => group.length > 0);
+		if (nearest === undefined) {
+			return undefined;
+		}
+
+		const best = this.#betterOfTwo(nearest, request, now);
+		const beyond = this.#soonerBeyond(best.candidate, farther, request, now);
+		return this.#count(beyond ?? best);
 	}
 
 	/** Without headroom anywhere: a reachable candidate of the own region, else any of the own region, else any candidate. */
-	#leastLoaded(candidates: readonly Candidate[], now: number): Candidate {
+	#leastLoaded(candidates: readonly Candidate[], request: RoutingRequest, now: number): Candidate {
 		const near = candidates.filter(candidate => candidate.distance !== Distance.OtherRegion);
 		const reachable = near.filter(({member}) => !this.loads.isUnreachable(member.name, now));
 		const pool = [reachable, near, candidates].find(group => group.length > 0)!;
-		return this.#betterOfTwo(pool, now);
+		return this.#count(this.#betterOfTwo(pool, request, now));
+	}
+
+	/** A candidate of the own region beyond the nearest distance whose expected end is sooner by more than the cost of the distance. */
+	#soonerBeyond(nearest: Candidate, farther: ReadonlyArray<readonly Candidate[]>, request: RoutingRequest, now: number): RuledChoice | undefined {
+		const nearestEnd = this.#expectedEnd(nearest, request, now);
+		const groups = farther.filter(([candidate]) => candidate!.distance !== Distance.OtherRegion);
+		if (nearestEnd === undefined || groups.length === 0) {
+			return undefined;
+		}
+
+		const bound = (nearestEnd * (1 - distanceCostShare)) - distanceCostMilliseconds;
+		const chosen = groups.map(group => this.#betterOfTwo(group, request, now))
+			.find(({candidate}) => (this.#expectedEnd(candidate, request, now) ?? Infinity) < bound);
+		return chosen === undefined ? undefined : {...chosen, rule: PlacementRule.LeftNearest};
 	}
 
-	#betterOfTwo(group: readonly Candidate[], now: number): Candidate {
+	#betterOfTwo(group: readonly Candidate[], request: RoutingRequest, now: number): RuledChoice {
 		const first = group[Math.floor(this.#random() * group.length)]!;
 		const others = group.filter(candidate => candidate !== first);
-		if (others.length === 0) {
-			return first;
+		const second = others.length === 0 ? first : others[Math.floor(this.#random() * others.length)]!;
+		const firstEnd = this.#expectedEnd(first, request, now);
+		const secondEnd = this.#expectedEnd(second, request, now);
+		const isKnown = firstEnd !== undefined && secondEnd !== undefined;
+		if (isKnown && Math.abs(firstEnd - secondEnd) > equalEndsShare * Math.max(firstEnd, secondEnd)) {
+			return {candidate: firstEnd <= secondEnd ? first : second, rule: PlacementRule.ExpectedEnd};
+		}
+
+		const isFirstBetter = this.loads.headroom(first.member.name, now) >= this.loads.headroom(second.member.name, now);
+		return {candidate: isFirstBetter ? first : second, rule: PlacementRule.Headroom};
+	}
+
+	#expectedEnd({member: {name}}: Candidate, {kind, bodyBytes}: RoutingRequest, now: number): number | undefined {
+		return this.ends?.expected(name, kind, bodyBytes ?? 0, this.loads.room(name, now), now);
+	}
+
+	#count({candidate, rule}: RuledChoice): Candidate {
+		if (this.ends !== undefined) {
+			this.#choices.set(rule, (this.#choices.get(rule) ?? 0) + 1);
 		}
 
-		const second = others[Math.floor(this.#random() * others.length)]!;
-		return this.loads.headroom(first.member.name, now) >= this.loads.headroom(second.member.name, now) ? first : second;
+		return candidate;
 	}
 }
