Report work and speed of an upstream with the answers of its node

Cause: entry nodes can calculate expected ends only from what serving nodes observe: running calls, their learned work and the slowness that the upstream reports as fourth figure of its load header.

Change: with placement.costAware and a fourth figure, an answer's head has one optional trailing value. It is sent only over links whose upgrade asked for it, so nodes of earlier versions never receive it; the decoder accepts both lengths. A counter tells the choices by rule.

--- a/packages/core/src/admission/admission-controller.ts
+++ b/packages/core/src/admission/admission-controller.ts
@@ -89,11 +89,6 @@
 		return this.#queue.length;
 	}
 
-	/** Running calls, and waiting calls without a start. */
-	get openWork(): ReadonlyArray<{readonly work: Work; readonly startedAt?: number}> {
-		return [...this.#running.entries, ...this.#queue.entries.map(work => ({work}))];
-	}
-
 	/** Whether no call waits or runs. */
 	get isIdle(): boolean {
 		return this.#running.size === 0 && this.#queue.length === 0;
--- a/packages/core/src/admission/running-work.ts
+++ b/packages/core/src/admission/running-work.ts
@@ -29,11 +29,6 @@
 		return this.#entries.size;
 	}
 
-	/** Running calls in the order of their dispatch. */
-	get entries(): readonly RunningEntry[] {
-		return [...this.#entries.values()];
-	}
-
 	get(callId: string): RunningEntry | undefined {
 		return this.#entries.get(callId);
 	}
--- a/packages/core/src/admission/work-left.ts
+++ b/packages/core/src/admission/work-left.ts
@@ -6,6 +6,9 @@
 import {CostModel} from './cost-model.js';
 import {MachineSpeed} from './machine-speed.js';
 
+/** Time after the last reported speed for which an upstream counts as one that reports it. */
+const activeMilliseconds = 10_000;
+
 /** A running or waiting call, as far as its work is concerned. */
 export type OpenWork = {
 	readonly kind: string;
@@ -48,22 +51,20 @@
 export class UpstreamWork {
 	readonly #costs = new CostModel();
 	readonly #speed = new MachineSpeed();
-	#isActive = false;
 
-	/** Whether the upstream has reported a speed. */
-	get isActive(): boolean {
-		return this.#isActive;
+	/** Whether the upstream has recently reported a speed. */
+	isActive(now: number): boolean {
+		return this.#speed.age(now) < activeMilliseconds;
 	}
 
 	/** Records the upstream's report. A call's time is compared with the report that comes with its answer. */
 	speedReported(slowdown: number, now: number): void {
-		this.#isActive = true;
 		this.#speed.report(slowdown, now);
 	}
 
 	/** Records a call that the upstream has answered. The slowness at its end is taken out of its time. */
 	finished({kind, bodyBytes, workedMilliseconds}: OpenWork, now: number): void {
-		if (!this.#isActive) {
+		if (!this.isActive(now)) {
 			return;
 		}
 
@@ -77,7 +78,7 @@
 
 	/** State for the answer to a call; undefined while the upstream reports no speed. */
 	report(call: Omit<OpenWork, 'workedMilliseconds'>, open: readonly OpenWork[], slots: number, now: number): WorkReport | undefined {
-		if (!this.#isActive) {
+		if (!this.isActive(now)) {
 			return undefined;
 		}
 
--- a/packages/core/src/admission/work.ts
+++ b/packages/core/src/admission/work.ts
@@ -21,8 +21,6 @@
 	readonly guaranteedShare: number;
 	/** Whether all other candidates refused the call, so that waiting here is better than a refusal. */
 	readonly lastResort: boolean;
-	/** Length of the request's body, for the likely cost of the call; 0 by default. */
-	readonly bodyBytes?: number;
 };
 
 /** How a dispatch to the upstream ended. */
--- a/packages/core/src/entry/entry-coordinator.ts
+++ b/packages/core/src/entry/entry-coordinator.ts
@@ -104,6 +104,7 @@
 		}
 
 		this.#definition.loads.callAnswered(sentCall.destination.member.name, state.request.policy.kind, frame.serving, now - sentCall.sentAt, now);
+		this.#recordWork(state, sentCall, frame, now);
 		this.#recordUpstreamRefusal(state, sentCall, frame, now);
 		if (frame.answer !== undefined) {
 			this.#recordUpstreamOutcome(state, sentCall, frame.answer.status !== gatewayTimeoutStatus, now);
@@ -386,6 +387,13 @@
 		}
 	}
 
+	#recordWork({request: {policy: {kind}, request: {body}}}: EntryState, {destination: {member: {name}}}: SentCall, {serving: {work}}: AnswerFrame, now: number): void {
+		const {ends, loads} = this.#definition;
+		if (work !== undefined) {
+			ends?.reported(name, kind, body.length, work, loads.room(name, now), now);
+		}
+	}
+
 	#recordUpstreamOutcome({request: {policy: {kind}}}: EntryState, {destination: {member}}: SentCall, isAnswered: boolean, now: number): void {
 		this.#definition.loads.recordUpstreamOutcome(member.name, kind, isAnswered, now);
 	}
--- a/packages/core/src/entry/entry-definition.ts
+++ b/packages/core/src/entry/entry-definition.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {CallIdGenerator} from '../action/call-ids.js';
+import type {ExpectedEnds} from '../routing/expected-end.js';
 import type {PeerLoads} from '../routing/peer-loads.js';
 import type {Locator} from './entry-call.js';
 
@@ -25,6 +26,8 @@
 	readonly callIds: CallIdGenerator;
 	readonly locator: Locator;
 	readonly loads: PeerLoads;
+	/** Expected ends at peers; undefined while cost-aware placement is disabled. */
+	readonly ends?: ExpectedEnds | undefined;
 	/** Number of the active manifest revision. */
 	readonly revision: () => number;
 	/** Retries that each success adds to the retry budget of its service. */
--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -7,6 +7,7 @@
 import {CallIdGenerator} from '../action/call-ids.js';
 import {formatTraceContext} from '../action/trace-context.js';
 import type {AdmissionController} from '../admission/admission-controller.js';
+import {UpstreamWork} from '../admission/work-left.js';
 import type {CancelResult, Work} from '../admission/work.js';
 import {EntryCoordinator} from '../entry/entry-coordinator.js';
 import {EntryEffectType, type EntryEffect, type EntryRequest} from '../entry/entry-call.js';
@@ -141,6 +142,7 @@
 			callIds: new CallIdGenerator(this.#dependencies.node.own.name, this.#dependencies.node.own.incarnation),
 			locator: createLocator({router: this.#dependencies.router, directory: this.#dependencies.directory, memberOf}),
 			loads: this.#dependencies.router.loads,
+			ends: this.#dependencies.router.ends,
 			revision: () => this.#dependencies.adoption.number,
 			retryBudgetRatio: () => this.#retryShare,
 			offerRatio: () => this.#dependencies.node.retries?.offerShare ?? this.#retryShare,
@@ -158,6 +160,7 @@
 			revision: () => this.#dependencies.adoption.number,
 			isNotReady: () => this.#dependencies.membership.own.state !== UpstreamState.Ready,
 			downstreamLevel: (kind, now) => this.#downstreamLevel(kind, now),
+			upstreamWork: this.#dependencies.node.costAwarePlacement === true ? new UpstreamWork() : undefined,
 		});
 	}
 
--- a/packages/core/src/node/locator.ts
+++ b/packages/core/src/node/locator.ts
@@ -74,9 +74,9 @@
 }
 
 function toRoutingRequest(request: EntryRequest, excluded: ReadonlySet<string>): RoutingRequest {
-	const {service, policy, importance, priority} = request;
+	const {service, policy, importance, priority, request: {body}} = request;
 	return {
-		service, kind: policy.kind, importance, priority, excluded, crossRegion: policy.crossRegion ?? importance !== Importance.Low,
+		service, kind: policy.kind, importance, priority, excluded, crossRegion: policy.crossRegion ?? importance !== Importance.Low, bodyBytes: body.length,
 	};
 }
 
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -79,7 +79,7 @@
 	constructor(definition: NodeDefinition) {
 		this.#definition = definition;
 		this.#clock = new HybridClock(definition.wallClock);
-		this.#router = new Router(definition.own, definition.random);
+		this.#router = new Router(definition.own, definition.random, definition.costAwarePlacement);
 		this.#admission = new AdmissionController(1, definition.admissionMechanisms ?? allAdmissionMechanisms);
 		this.#membership = new Membership({
 			own: definition.own, random: definition.random, times: definition.membershipTimes, wallClock: definition.wallClock,
@@ -135,6 +135,11 @@
 		return this.#manifestWatch;
 	}
 
+	/** Number of choices of serving nodes by rule; empty while cost-aware placement is disabled. */
+	get placementChoices(): Router['choices'] {
+		return this.#router.choices;
+	}
+
 	get atMostOnce(): AtMostOnceCoordinator {
 		return this.#atMostOnce;
 	}
@@ -222,8 +227,9 @@
 		return this.#flow.handleEntryEffects(this.#flow.entry.cancelReplied(callId, result, now), now);
 	}
 
-	upstreamAnswered(callId: string, answer: AnswerPayload, now: number): NodeEffect[] {
-		return this.#flow.handleServingEffects(this.#flow.serving.upstreamAnswered(callId, answer, now), now);
+	/** @param slowdown - factor by which work takes longer than usual on the machine of the upstream, if it reported one */
+	upstreamAnswered(callId: string, answer: AnswerPayload, now: number, slowdown?: number): NodeEffect[] {
+		return this.#flow.handleServingEffects(this.#flow.serving.upstreamAnswered(callId, answer, now, slowdown), now);
 	}
 
 	/** Processes the head of an answer whose body follows in a stream, which `upstreamAnswered` or `upstreamFailed` ends. */
--- a/packages/core/src/routing/expected-end.ts
+++ b/packages/core/src/routing/expected-end.ts
@@ -95,11 +95,6 @@
 		[...this.#peers.keys()].filter(name => !peers.has(name)).map(name => this.#peers.delete(name));
 	}
 
-	/** Forgets a peer, as after its restart. */
-	forget(peer: string): void {
-		this.#peers.delete(peer);
-	}
-
 	#updateReference(costClass: string, milliseconds: number): number {
 		const known = this.#references.get(costClass) ?? milliseconds;
 		const reference = known + (referenceSmoothingFactor * (milliseconds - known));
--- a/packages/core/src/serving/served-call.ts
+++ b/packages/core/src/serving/served-call.ts
@@ -57,6 +57,8 @@
 	readonly arrivedAt: number;
 	readonly retryQuota: RetryQuota;
 	isDispatched: boolean;
+	/** Time of the dispatch to the upstream; 0 before it. */
+	dispatchedAt: number;
 	/** Reason for which the admission controller cancelled the dispatched call. */
 	cancelReason: ErrorKind | undefined;
 	readonly nested: NestedTime;
--- a/packages/core/src/serving/serving-coordinator.ts
+++ b/packages/core/src/serving/serving-coordinator.ts
@@ -6,6 +6,7 @@
 import {RetryQuota} from '../action/retry-quota.js';
 import {SeenCalls} from '../admission/seen-calls.js';
 import type {AdmissionController} from '../admission/admission-controller.js';
+import type {UpstreamWork} from '../admission/work-left.js';
 import {
 	AdmissionEffectType, CancelResult, DispatchOutcome, type AdmissionEffect, type Work,
 } from '../admission/work.js';
@@ -21,6 +22,7 @@
 import {
 	ServingEffectType, UpstreamFailure, type ServedCall, type ServingEffect,
 } from './served-call.js';
+import {createWorkReport, recordWork} from './served-work.js';
 import {dispatchedFailures, notRunFailures, type NotRunFailure} from './upstream-failures.js';
 
 const answeredRetentionMilliseconds = 30_000;
@@ -37,6 +39,8 @@
 	readonly isNotReady: () => boolean;
 	/** Highest overload level of the services that calls of the kind depend on. */
 	readonly downstreamLevel: (kind: string, now: number) => number;
+	/** Work of the own upstream; undefined while cost-aware placement is disabled. */
+	readonly upstreamWork?: UpstreamWork | undefined;
 };
 
 type AdmissionHandlers = {readonly [Type in AdmissionEffectType]: (call: ServedCall, effect: Extract<AdmissionEffect, {type: Type}>, now: number) => ServingEffect[]};
@@ -130,13 +134,18 @@
 		return [{type: ServingEffectType.AnswerStarted, callId, head}];
 	}
 
-	upstreamAnswered(callId: string, answer: AnswerPayload, now: number): ServingEffect[] {
+	/** @param slowdown - factor by which work takes longer than usual on the machine of the upstream, if it reported one */
+	upstreamAnswered(callId: string, answer: AnswerPayload, now: number, slowdown?: number): ServingEffect[] {
 		const call = this.#calls.get(callId);
 		if (call === undefined) {
 			return [];
 		}
 
 		const dispatchOutcome = shedStatuses.has(answer.status) ? DispatchOutcome.Shed : DispatchOutcome.Answered;
+		if (this.#definition.upstreamWork !== undefined) {
+			recordWork(this.#definition.upstreamWork, call, dispatchOutcome, slowdown, now);
+		}
+
 		const finishEffects = this.#finish(call, dispatchOutcome, answer, now);
 		return [...this.#answer(call, Outcome.Ran, answer, undefined, false, now), ...finishEffects];
 	}
@@ -193,6 +202,7 @@
 			arrivedAt: now,
 			retryQuota: new RetryQuota(frame.retries),
 			isDispatched: false,
+			dispatchedAt: 0,
 			cancelReason: undefined,
 			nested: new NestedTime(),
 		};
@@ -242,6 +252,7 @@
 
 	#dispatch(call: ServedCall, now: number): ServingEffect[] {
 		call.isDispatched = true;
+		call.dispatchedAt = now;
 		if (call.frame.requestId !== '') {
 			this.#callIdByRequestId.set(call.frame.requestId, call.frame.callId);
 		}
@@ -348,8 +359,10 @@
 		}
 
 		this.#answered.add(call.frame.callId, now);
-		const {headroom, level} = this.#definition.admission.load;
+		const {admission, upstreamWork} = this.#definition;
+		const {headroom, level} = admission.load;
 		const downstreamLevel = this.#definition.downstreamLevel(call.frame.kind, now);
+		const work = upstreamWork === undefined ? undefined : createWorkReport(upstreamWork, call, this.#calls.values(), admission.capacity, now);
 		return [{
 			type: ServingEffectType.Answer,
 			frame: {
@@ -366,6 +379,7 @@
 					draining: this.#definition.isNotReady(),
 					revision: this.#definition.revision(),
 					servedMilliseconds: now - call.arrivedAt,
+					...(work === undefined ? {} : {work}),
 				},
 			},
 		}];
--- a/packages/core/src/tests/placement-simulation.ts
+++ b/packages/core/src/tests/placement-simulation.ts
@@ -36,7 +36,8 @@
 
 export type SimulationResult = {readonly tailMilliseconds: number; readonly inTimeShare: number; readonly leftShare: number};
 
-type Call = Work & {readonly entry: number; readonly createdAt: number; readonly effort: number; readonly excluded: Set<string>; startedAt: number; sentAt: number; receivedAt: number; target: number};
+type CallPlan = {readonly entry: number; readonly createdAt: number; readonly effort: number; readonly excluded: Set<string>};
+type Call = Work & CallPlan & {startedAt: number | undefined; sentAt: number; receivedAt: number; target: number};
 
 /**
  * Plays a scenario with today's choice or the cost-aware one; equal seeds give equal arrivals and equal work.
@@ -56,7 +57,7 @@
 		router.setMembers(members);
 		return router;
 	});
-	const servers = upstreams.map(() => ({admission: new AdmissionController(slots, {...allAdmissionMechanisms, adaptiveLimit: false}), work: new UpstreamWork()}));
+	const servers = upstreams.map(() => ({admission: new AdmissionController(slots, {...allAdmissionMechanisms, adaptiveLimit: false}), work: new UpstreamWork(), open: new Set<Call>()}));
 	const events: Array<{readonly at: number; readonly run: () => void}> = [];
 	const latencies: number[] = [];
 	let now = 0;
@@ -71,9 +72,10 @@
 	};
 
 	const answer = (call: Call, isAnswered: boolean): void => {
-		const {admission, work} = servers[call.target]!;
-		const open = admission.openWork.map(entry => ({kind: 'k', bodyBytes: 0, workedMilliseconds: entry.startedAt === undefined ? 0 : now - entry.startedAt}));
-		const report = isCostAware ? work.report({kind: 'k', bodyBytes: 0}, open, admission.capacity, now) : undefined;
+		const {admission, work, open} = servers[call.target]!;
+		open.delete(call);
+		const openWork = [...open].map(({startedAt}) => ({kind: 'k', bodyBytes: 0, workedMilliseconds: startedAt === undefined ? 0 : now - startedAt}));
+		const report = isCostAware ? work.report({kind: 'k', bodyBytes: 0}, openWork, admission.capacity, now) : undefined;
 		const serving = {
 			...admission.load, downstreamLevel: 0, draining: false, revision: 1, servedMilliseconds: now - call.receivedAt,
 		};
@@ -100,7 +102,7 @@
 		schedule(now + duration, () => {
 			const {admission, work} = servers[call.target]!;
 			work.speedReported(reported(call.target, now, reports()), now);
-			work.finished({kind: 'k', bodyBytes: 0, workedMilliseconds: now - call.startedAt}, now);
+			work.finished({kind: 'k', bodyBytes: 0, workedMilliseconds: duration}, now);
 			const effects = admission.finish(call.callId, DispatchOutcome.Answered, 0, now);
 			answer(call, true);
 			apply(effects);
@@ -130,7 +132,10 @@
 		routers[call.entry]!.loads.callSent(route.candidate.member.name);
 		schedule(now + linkMilliseconds, () => {
 			call.receivedAt = now;
-			apply(servers[call.target]!.admission.submit({...call, arrivedAt: now}, now));
+			const copy: Call = {...call, arrivedAt: now};
+			const {admission, open} = servers[call.target]!;
+			open.add(copy);
+			apply(admission.submit(copy, now));
 		});
 	};
 
@@ -141,7 +146,7 @@
 			const call: Call = {
 				callId: `e.${index}`, kind: 'k', importance: Importance.Normal, priority: 200, idempotent: true, deadline: now + deadlineMilliseconds, arrivedAt: now, guaranteedShare: 0,
 				lastResort: false,
-				createdAt: now, entry: Math.floor(arrivals() * routers.length), effort: scenario.work(arrivals()), excluded: new Set(), startedAt: 0, sentAt: 0, receivedAt: 0, target: 0,
+				createdAt: now, entry: Math.floor(arrivals() * routers.length), effort: scenario.work(arrivals()), excluded: new Set(), startedAt: undefined, sentAt: 0, receivedAt: 0, target: 0,
 			};
 			send(call);
 			arrive(index + 1);
--- a/packages/node/src/core-task.ts
+++ b/packages/node/src/core-task.ts
@@ -57,7 +57,7 @@
 	[CoreMessageType.CancelArrived]: {readonly callId: string; readonly reply: (result: CancelResult) => void};
 	[CoreMessageType.CancelReplied]: {readonly callId: string; readonly result: CancelResult};
 	[CoreMessageType.UpstreamStarted]: {readonly callId: string; readonly head: AnswerHead};
-	[CoreMessageType.UpstreamAnswered]: {readonly callId: string; readonly answer: AnswerPayload};
+	[CoreMessageType.UpstreamAnswered]: {readonly callId: string; readonly answer: AnswerPayload; /** Factor by which work takes longer than usual. */ readonly slowdown?: number};
 	[CoreMessageType.UpstreamFailed]: {readonly callId: string; readonly failure: UpstreamFailure};
 	[CoreMessageType.UpstreamAnnounced]: {readonly announcement: Announcement};
 	[CoreMessageType.UpstreamWithdrawn]: {readonly withdrawal: Withdrawal};
@@ -100,7 +100,7 @@
 	},
 	[CoreMessageType.CancelReplied]: (core, {callId, result}, now) => core.cancelReplied(callId, result, now),
 	[CoreMessageType.UpstreamStarted]: (core, {callId, head}, now) => core.upstreamStarted(callId, head, now),
-	[CoreMessageType.UpstreamAnswered]: (core, {callId, answer}, now) => core.upstreamAnswered(callId, answer, now),
+	[CoreMessageType.UpstreamAnswered]: (core, {callId, answer, slowdown}, now) => core.upstreamAnswered(callId, answer, now, slowdown),
 	[CoreMessageType.UpstreamFailed]: (core, {callId, failure}, now) => core.upstreamFailed(callId, failure, now),
 	[CoreMessageType.UpstreamAnnounced]: (core, {announcement}, now) => core.upstreamAnnounced(announcement, now),
 	[CoreMessageType.UpstreamWithdrawn]: (core, {withdrawal}, now) => core.upstreamWithdrawn(withdrawal, now),
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -82,7 +82,7 @@
 		core, streams, headers: settings.headers, log: openLogger(LogPart.Upstream),
 	});
 	const peersClient = new PeersClient({
-		core, streams, log: openLogger(LogPart.Peers), clock,
+		core, streams, log: openLogger(LogPart.Peers), clock, readsWorkReports: settings.placement.costAware,
 	});
 	const gossip = new GossipSocket(core, openLogger(LogPart.Control));
 	const store = new StoreTask({
@@ -277,6 +277,7 @@
 		admissionMechanisms: {...allAdmissionMechanisms, adaptiveLimit: settings.admission.adaptiveLimit},
 		slotShare: settings.admission.slotShare,
 		retries: settings.retries,
+		costAwarePlacement: settings.placement.costAware,
 	};
 }
 
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -56,6 +56,17 @@
 			[...eventCounts.values()].map(({labels, count}) => this.inc(labels, count));
 		},
 	}));
+	let choices: NodeCore['placementChoices'] = new Map();
+	const choicesCounter = new Counter({
+		name: `${metricPrefix}placement_choices_total`,
+		help: 'Choices of serving nodes by rule, while cost-aware placement is enabled',
+		labelNames: ['rule'],
+		registers: [],
+		collect() {
+			this.reset();
+			[...choices].map(([rule, count]) => this.inc({rule}, count));
+		},
+	});
 	const gauges = new Gauge({
 		name: `${metricPrefix}state`, help: 'State of the node by name', labelNames: ['name'], registers,
 	});
@@ -83,6 +94,11 @@
 			statsd?.increment(`events.${type}`, 1, {service, kind, reason});
 		},
 		gauge(core) {
+			if (choices.size === 0 && core.placementChoices.size > 0) {
+				choices = core.placementChoices;
+				registry.registerMetric(choicesCounter);
+			}
+
 			Object.entries(gaugeValuesOf(core)).map(([name, value]) => {
 				gauges.set({name}, value);
 				statsd?.gauge(name, value);
--- a/packages/node/src/peer-link.ts
+++ b/packages/node/src/peer-link.ts
@@ -12,6 +12,12 @@
 /** Protocol name in the upgrade header. */
 export const linkProtocol = 'laburnumspool-calls';
 
+/**
+ * Header of the upgrade by which an entry node states that it reads the work reports in answers. Nodes of earlier versions, and
+ * nodes without cost-aware placement, do not send it and receive none.
+ */
+export const workReportsHeader = 'laburnumspool-work-reports';
+
 const maximumFrameBytes = 80 * 1024 * 1024;
 
 /** Unsent bytes above which a link counts as congested. */
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -17,7 +17,7 @@
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {startExchange, type ExchangeResult} from './http-client.js';
 import type {Logger} from './logs.js';
-import {linkProtocol, PeerLink} from './peer-link.js';
+import {linkProtocol, PeerLink, workReportsHeader} from './peer-link.js';
 
 const connectTimeoutMilliseconds = 500;
 
@@ -58,6 +58,8 @@
 	readonly streams: AnswerStreams;
 	readonly log: Logger;
 	readonly clock: () => number;
+	/** Whether serving nodes are asked for work reports in their answers; false by default. */
+	readonly readsWorkReports?: boolean;
 };
 
 /**
@@ -171,8 +173,9 @@
 			return existing;
 		}
 
+		const workReports = this.#definition.readsWorkReports === true ? {[workReportsHeader]: '1'} : {};
 		const upgradeRequest = sendRequest({
-			host: peer.host, port: peer.peersPort, path: '/calls', headers: {connection: 'upgrade', upgrade: linkProtocol}, agent: false,
+			host: peer.host, port: peer.peersPort, path: '/calls', headers: {connection: 'upgrade', upgrade: linkProtocol, ...workReports}, agent: false,
 		});
 		const connection: PeerConnection = {
 			address,
--- a/packages/node/src/peers-server.ts
+++ b/packages/node/src/peers-server.ts
@@ -9,7 +9,7 @@
 } from 'node:http';
 import type {Duplex} from 'node:stream';
 import {
-	ErrorKind, LaburnumspoolError, NodeEffectType, type NodeEffect,
+	ErrorKind, LaburnumspoolError, NodeEffectType, type AnswerFrame, type NodeEffect,
 } from '@laburnumspool/core';
 import {
 	decodeAnswerCredit, decodeCall, encodeAnswer, encodeAnswerChunk, encodeAnswerHead, FrameType, parseViewRequest, StringTableDecoder, StringTableEncoder, type ViewReply,
@@ -19,7 +19,7 @@
 import {
 	readBody, sendClientError, sendProblem, toCallError,
 } from './http-messages.js';
-import {linkProtocol, PeerLink} from './peer-link.js';
+import {linkProtocol, PeerLink, workReportsHeader} from './peer-link.js';
 
 const keepAliveMilliseconds = 600_000;
 const maximumViewBytes = 64 * 1024;
@@ -30,6 +30,13 @@
 type AnswerEffect = Extract<NodeEffect, {type: NodeEffectType.SendAnswer}>;
 type AnswerHeadEffect = Extract<NodeEffect, {type: NodeEffectType.SendAnswerHead}>;
 
+type LinkState = {
+	readonly encoder: StringTableEncoder;
+	readonly decoder: StringTableDecoder;
+	/** Whether the entry node reads work reports. */
+	readonly carriesWork: boolean;
+};
+
 export type PeersServerDefinition = {
 	readonly core: CoreTask;
 	readonly streams: AnswerStreams;
@@ -47,8 +54,8 @@
 export class PeersServer {
 	readonly #definition: PeersServerDefinition;
 	readonly #server: Server;
-	/** Open links, each with its string tables. */
-	readonly #links = new Map<PeerLink, {readonly encoder: StringTableEncoder; readonly decoder: StringTableDecoder}>();
+	/** Open links. */
+	readonly #links = new Map<PeerLink, LinkState>();
 	/** Link of each call without an answer. */
 	readonly #linksByCall = new Map<string, PeerLink>();
 
@@ -133,16 +140,16 @@
 		}
 
 		socket.write(`HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: ${linkProtocol}\r\n\r\n`);
-		const stringTables = {encoder: new StringTableEncoder(), decoder: new StringTableDecoder()};
+		const state: LinkState = {encoder: new StringTableEncoder(), decoder: new StringTableDecoder(), carriesWork: request.headers[workReportsHeader] !== undefined};
 		const link: PeerLink = new PeerLink(socket, head, {
 			received: frame => {
-				this.#frameHandlers[frame.type]?.(link, frame.content, stringTables.decoder);
+				this.#frameHandlers[frame.type]?.(link, frame.content, state.decoder);
 			},
 			closed: () => {
 				this.#removeLink(link);
 			},
 		});
-		this.#links.set(link, stringTables);
+		this.#links.set(link, state);
 	}
 
 	#receiveCall(link: PeerLink, decoder: StringTableDecoder, content: Buffer): void {
@@ -174,10 +181,10 @@
 
 	#sendAnswer({frame, clock}: AnswerEffect): void {
 		const link = this.#linksByCall.get(frame.callId);
-		const stringTables = link === undefined ? undefined : this.#links.get(link);
+		const state = link === undefined ? undefined : this.#links.get(link);
 		this.#linksByCall.delete(frame.callId);
-		if (stringTables !== undefined) {
-			link?.send(FrameType.Answer, encodeAnswer({frame, clock}, stringTables.encoder));
+		if (state !== undefined) {
+			link?.send(FrameType.Answer, encodeAnswer({frame: state.carriesWork ? frame : withoutWork(frame), clock}, state.encoder));
 		}
 	}
 
@@ -216,3 +223,8 @@
 		response.end(JSON.stringify(manifest === undefined ? {} : {number: manifest.number, document: manifest.document}));
 	}
 }
+
+function withoutWork(frame: AnswerFrame): AnswerFrame {
+	const {work: _work, ...serving} = frame.serving;
+	return {...frame, serving};
+}
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -38,7 +38,7 @@
 	callerService: valibot.optional(headerName),
 	/** Incarnation that the upstream reports in its answer to a health check. */
 	instance: valibot.optional(headerName),
-	/** Running calls, waiting calls and slots that the upstream reports in its answers. */
+	/** Running calls, waiting calls, slots and, optionally, the time that work takes now in percent of the usual one, in the upstream's answers. */
 	load: valibot.optional(headerName),
 	/** Marks an answer whose request the upstream did not execute. */
 	notExecuted: valibot.optional(headerName),
@@ -102,6 +102,10 @@
 		/** Largest used share of the announced slots; upstreams slow down when they are nearly full. */
 		slotShare: valibot.optional(share, 1),
 	}), {}),
+	placement: valibot.optional(valibot.strictObject({
+		/** Whether serving nodes are chosen by the expected end of calls, for services whose upstreams report their speed in `headers.load`. */
+		costAware: valibot.optional(valibot.boolean(), false),
+	}), {}),
 	/** Retry budget towards one service: `burst` is its initial and largest balance, `share` the part of a retry that a success earns. */
 	retries: valibot.optional(valibot.strictObject({
 		burst: valibot.optional(valibot.pipe(valibot.number(), valibot.minValue(0)), 10),
--- a/packages/node/src/upstream-client.ts
+++ b/packages/node/src/upstream-client.ts
@@ -26,6 +26,9 @@
 const maximumExchangeMilliseconds = 600_000;
 const misdirectedStatus = 421;
 
+/** Position of the slowness in a load header, after running calls, waiting calls and slots. */
+const slowdownPosition = 3;
+
 /** Body bytes of a download that are buffered. A smaller answer can still be replaced by that of a retry. */
 const downloadBufferBytes = 64 * 1024;
 
@@ -196,7 +199,9 @@
 			status, headers: filterHeaders(result.headers, this.#strippedHeaders), body, ...(isStreamed ? {isStreamed} : {}),
 		};
 		this.#core.post(failure === undefined
-			? {type: CoreMessageType.UpstreamAnswered, callId, answer}
+			? {
+				type: CoreMessageType.UpstreamAnswered, callId, answer, ...parseSlowdown(findHeader(result.headers, this.#headers.load)),
+			}
 			: {type: CoreMessageType.UpstreamFailed, callId, failure});
 	}
 
@@ -258,3 +263,12 @@
 		return isUnsigned ? UpstreamFailure.Broken : undefined;
 	}
 }
+
+/**
+ * Reads the fourth figure of a load header: the time that work takes now, in percent of the usual one. Nothing for a header
+ * without it, or with one that is not a positive number.
+ */
+function parseSlowdown(load: string | undefined): {readonly slowdown?: number} {
+	const slowdown = Number(load?.split(',')[slowdownPosition]) / 100;
+	return Number.isFinite(slowdown) && slowdown > 0 ? {slowdown} : {};
+}
--- a/packages/protocol/src/call-codec.ts
+++ b/packages/protocol/src/call-codec.ts
@@ -7,7 +7,7 @@
  */
 import type {Buffer} from 'node:buffer';
 import {
-	ErrorKind, Importance, LaburnumspoolError, Outcome, parseCallId, Semantics, type AnswerFrame, type CallFrame, type HybridTime,
+	ErrorKind, Importance, LaburnumspoolError, Outcome, parseCallId, Semantics, type AnswerFrame, type CallFrame, type HybridTime, type WorkReport,
 } from '@laburnumspool/core';
 import {
 	isAny, isArray, isBoolean, isByteCount, isNonNegativeNumber, isNumber, isString, isStringArray, joinMessage, nullOr, parseHead, splitMessage, type Check,
@@ -31,9 +31,17 @@
 type AnswerHead = readonly [
 	sender: unknown, sequence: unknown, outcome: Outcome, coversAction: boolean, status: number | null, headers: readonly unknown[], bodyBytes: number | null,
 	errorKind: ErrorKind | null, detail: string, retriesSpent: number,
-	headroom: number, level: number, downstreamLevel: number, draining: boolean, revision: number, servedMilliseconds: number, clock: HybridTime,
+	headroom: number, level: number, downstreamLevel: number, draining: boolean, revision: number, servedMilliseconds: number, clock: HybridTime, work?: WorkValues,
 ];
 
+/** Values of a work report in their order. */
+type WorkValues = readonly [workLeftMilliseconds: number, ownMilliseconds: number, slowdown: number, ageMilliseconds: number];
+
+const workValueCount = 4;
+
+/** Digits of the values of a work report; they are estimates, and each digit is sent with each answer. */
+const workDigits = 3;
+
 /** Longest time that a call can have left. */
 const maximumTimeLeftMilliseconds = 600_000;
 
@@ -88,6 +96,9 @@
 	isNumber,
 ];
 
+/** Check of the work report, which follows the other values of an answer's head where the link carries it. */
+const isWorkReport: Check = value => Array.isArray(value) && value.length === workValueCount && value.every(item => isNonNegativeNumber(item));
+
 /** A call with the sender's hybrid time. */
 export type TimedCall = {readonly frame: CallFrame; readonly clock: HybridTime};
 
@@ -196,6 +207,7 @@
 		serving.revision,
 		roundToMicroseconds(serving.servedMilliseconds),
 		clock,
+		...(serving.work === undefined ? [] : [encodeWork(serving.work)]),
 	], answer?.body ?? new Uint8Array());
 }
 
@@ -203,8 +215,8 @@
 export function decodeAnswer(content: Buffer, strings: StringTableDecoder): TimedAnswer {
 	const {head, body} = splitMessage(content);
 	const [
-		sender, sequence, outcome, coversAction, status, headers, bodyBytes, errorKind, detail, retriesSpent, headroom, level, downstreamLevel, draining, revision, servedMilliseconds, clock,
-	] = parseHead<AnswerHead>(head, answerChecks);
+		sender, sequence, outcome, coversAction, status, headers, bodyBytes, errorKind, detail, retriesSpent, headroom, level, downstreamLevel, draining, revision, servedMilliseconds, clock, work,
+	] = parseHead<AnswerHead>(head, answerChecks, isWorkReport);
 	const callId = decodeCallId(sender, sequence, strings);
 	const answerHeaders = decodeStrings(headers, strings);
 	if ((bodyBytes ?? 0) !== body.length) {
@@ -223,12 +235,26 @@
 		error: errorKind === null ? undefined : {kind: errorKind, detail},
 		retriesSpent,
 		serving: {
-			headroom, level, downstreamLevel, draining, revision, servedMilliseconds,
+			headroom, level, downstreamLevel, draining, revision, servedMilliseconds, ...(work === undefined ? {} : {work: decodeWork(work)}),
 		},
 	};
 	return {clock, frame};
 }
 
+function encodeWork({workLeftMilliseconds, ownMilliseconds, slowdown, ageMilliseconds}: WorkReport): WorkValues {
+	return [roundToDigits(workLeftMilliseconds), roundToDigits(ownMilliseconds), roundToDigits(slowdown), Math.round(ageMilliseconds)];
+}
+
+function decodeWork([workLeftMilliseconds, ownMilliseconds, slowdown, ageMilliseconds]: WorkValues): WorkReport {
+	return {
+		workLeftMilliseconds, ownMilliseconds, slowdown, ageMilliseconds,
+	};
+}
+
+function roundToDigits(value: number): number {
+	return Number(value.toPrecision(workDigits));
+}
+
 /** No time is measured with a finer resolution than microseconds. */
 function roundToMicroseconds(milliseconds: number): number {
 	return Math.round(milliseconds * 1000) / 1000;
--- a/packages/protocol/src/message-head.ts
+++ b/packages/protocol/src/message-head.ts
@@ -36,10 +36,14 @@
 /**
  * Parses a head and checks each value; throws `malformed`. Runs for every call and answer, so the checks are plain functions
  * and not a schema.
+ *
+ * @param optionalCheck - check of one further value, which may be absent
  */
-export function parseHead<Head extends readonly unknown[]>(head: string, checks: readonly Check[]): Head {
+export function parseHead<Head extends readonly unknown[]>(head: string, checks: readonly Check[], optionalCheck?: Check): Head {
 	const values = parseJson(head, ErrorKind.Malformed, 'The head of the message is not JSON');
-	if (!Array.isArray(values) || values.length !== checks.length || !checks.every((check, index) => check(values[index]))) {
+	const hasOptional = Array.isArray(values) && optionalCheck !== undefined && values.length === checks.length + 1;
+	const isComplete = Array.isArray(values) && (hasOptional ? optionalCheck(values.at(-1)) : values.length === checks.length);
+	if (!isComplete || !checks.every((check, index) => check(values[index]))) {
 		throw new LaburnumspoolError(ErrorKind.Malformed, `The head of the message is not an array of ${checks.length} values of the expected types`);
 	}
 
--- a/packages/protocol/src/tests/codecs.test.ts
+++ b/packages/protocol/src/tests/codecs.test.ts
@@ -61,6 +61,21 @@
 	t.same(decodeCall(encodeCall({frame: {...frame, key: 'k-1'}, clock: 7}, new StringTableEncoder()), new StringTableDecoder()).frame.key, 'k-1');
 });
 
+test('an answer with a work report is equal after encoding and decoding, and one without is as long as before', async t => {
+	const serving = {
+		...answer.serving, work: {
+			workLeftMilliseconds: 12.3, ownMilliseconds: 20.1, slowdown: 2.5, ageMilliseconds: 40,
+		},
+	};
+	const content = encodeAnswer({frame: {...answer, serving}, clock: 7}, new StringTableEncoder());
+	t.same(decodeAnswer(content, new StringTableDecoder()).frame.serving, serving);
+	const without = encodeAnswer({frame: answer, clock: 7}, new StringTableEncoder());
+	t.notOk('work' in decodeAnswer(without, new StringTableDecoder()).frame.serving);
+	t.equal(content.length - without.length, ',[12.3,20.1,2.5,40]'.length);
+	const text = content.toString('latin1').replace('[12.3,', '[-2.3,');
+	t.throws(() => decodeAnswer(Buffer.from(text, 'latin1'), new StringTableDecoder()), 'a negative value');
+});
+
 test('strings that repeat on a connection are sent as indexes, and a decoder without the table refuses them as malformed', async t => {
 	const encoder = new StringTableEncoder();
 	const decoder = new StringTableDecoder();
