Simulate many entry nodes with the same report, and the distances

Cause: entry nodes that hold the same report might all choose the same upstream, and placement by measured time once sent calls to other regions under load.

Change: the simulation can pass each report to all entry nodes and let calls arrive at once; a test fixes when a call leaves its failure domain, and that a sooner end in another region attracts none.

--- a/packages/core/src/tests/cost-model.test.ts
+++ b/packages/core/src/tests/cost-model.test.ts
@@ -87,3 +87,25 @@
 
 	t.same(play(true), play(false));
 });
+
+// Guards against placement by time that sends calls to other regions under load, where it lost before.
+test('a sooner end attracts calls from another failure domain only by more than the cost of the distance, and never from another region', async t => {
+	const located = (name: string, region: string, failureDomain: string): Member => createMember(name, {location: {region, failureDomain}});
+	const chosenWith = (otherMilliseconds: number, region: string): string | undefined => {
+		const router = new Router({name: 'entry', location: {region: 'r', failureDomain: 'a'}}, () => 0.5, true);
+		router.setMembers([located('near', 'r', 'a'), located('other', region, 'b')]);
+		Object.entries({near: 40, other: otherMilliseconds}).map(([name, ownMilliseconds]) => {
+			router.loads.callSent(name);
+			router.loads.callAnswered(name, 'k', serving, 6, 0);
+			return router.ends!.reported(name, 'k', 0, {
+				workLeftMilliseconds: 0, ownMilliseconds, slowdown: 1, ageMilliseconds: 0,
+			}, router.loads.room(name, 0), 0);
+		});
+		const choice = router.route(request, 1);
+		return 'candidate' in choice ? choice.candidate.member.name : undefined;
+	};
+
+	t.equal(chosenWith(36, 'r'), 'near');
+	t.equal(chosenWith(10, 'r'), 'other');
+	t.equal(chosenWith(1, 'elsewhere'), 'near');
+});
--- a/packages/core/src/tests/placement-scenarios.ts
+++ b/packages/core/src/tests/placement-scenarios.ts
@@ -40,10 +40,16 @@
 	'many entry nodes with old reports': {
 		...base, entries: manyEntries, slowdown: slowInTurns, load: 0.45,
 	},
+	'many entry nodes at once with the same report': {
+		...base, entries: manyEntries, slowdown: slowInTurns, load: 0.45, isShared: true, burst: 3,
+	},
 };
 
 /** Scenarios by name that must not be worse by more than the range over the seeds. */
 export const guardedScenarios: Readonly<Record<string, Scenario>> = {
+	'many entry nodes with the same report, at steady speeds': {
+		...base, entries: manyEntries, load: 0.7, isShared: true,
+	},
 	'heavy-tailed work at four slots': {...base, work: heavyTailed, deadlineMilliseconds: 250},
 	'reports that are 200 ms behind': {
 		...base, load: 0.6, slowdown: slowInTurns, reported: (upstream, now) => slowInTurns(upstream, now - 200),
--- a/packages/core/src/tests/placement-simulation.ts
+++ b/packages/core/src/tests/placement-simulation.ts
@@ -30,6 +30,10 @@
 	readonly slowdown: (upstream: number, now: number) => number;
 	/** Fourth figure of the load header; what the upstream's slowdown is by default. */
 	readonly reported?: (upstream: number, now: number, random: number) => number;
+	/** Whether every answer's report reaches all entry nodes at once. */
+	readonly isShared?: boolean;
+	/** Calls that arrive at the same moment, each at an entry node of its own; 1 by default. */
+	readonly burst?: number;
 	/** Time that an answer needs to its entry node, one way. */
 	readonly linkMilliseconds?: number;
 };
@@ -50,7 +54,7 @@
 		const generator = xoroshiro128plus(value);
 		return () => uniformFloat64(generator);
 	}) as [() => number, () => number, () => number];
-	const {upstreams, slots, deadlineMilliseconds, linkMilliseconds = 0.5, reported = scenario.slowdown} = scenario;
+	const {upstreams, slots, deadlineMilliseconds, isShared = false, burst = 1, linkMilliseconds = 0.5, reported = scenario.slowdown} = scenario;
 	const members: Member[] = upstreams.map(({domain}, index) => createMember(`u${index}`, {location: {region: 'r', failureDomain: domain}, slots}));
 	const routers = scenario.entries.map((failureDomain, index) => new Router({name: `e${index}`, location: {region: 'r', failureDomain}}, choices, isCostAware));
 	routers.map(router => {
@@ -80,12 +84,15 @@
 			...admission.load, downstreamLevel: 0, draining: false, revision: 1, servedMilliseconds: now - call.receivedAt,
 		};
 		schedule(now + linkMilliseconds, () => {
-			const {loads, ends} = routers[call.entry]!;
 			const name = `u${call.target}`;
-			loads.callAnswered(name, 'k', serving, now - call.sentAt, now);
-			if (report !== undefined) {
-				ends?.reported(name, 'k', 0, report, loads.room(name, now), now);
-			}
+			routers.filter((_, index) => isShared || index === call.entry).map(({loads, ends}, index) => {
+				if (isShared && index !== call.entry) {
+					loads.callSent(name);
+				}
+
+				loads.callAnswered(name, 'k', serving, now - call.sentAt, now);
+				return report !== undefined && ends?.reported(name, 'k', 0, report, loads.room(name, now), now);
+			});
 
 			if (isAnswered) {
 				finishCaller(call, true);
@@ -142,13 +149,14 @@
 	const meanWork = Array.from({length: 1000}, (_, index) => scenario.work((index + 0.5) / 1000)).reduce((sum, value) => sum + value, 0) / 1000;
 	const callsPerMillisecond = scenario.load * slots * upstreams.reduce((sum, {speed}) => sum + speed, 0) / meanWork;
 	const arrive = (index: number): void => {
-		schedule(now - (Math.log(1 - arrivals()) / callsPerMillisecond), () => {
-			const call: Call = {
-				callId: `e.${index}`, kind: 'k', importance: Importance.Normal, priority: 200, idempotent: true, deadline: now + deadlineMilliseconds, arrivedAt: now, guaranteedShare: 0,
+		schedule(now - (burst * Math.log(1 - arrivals()) / callsPerMillisecond), () => {
+			const firstEntry = Math.floor(arrivals() * routers.length);
+			const calls = Array.from({length: burst}, (_, place): Call => ({
+				callId: `e${place}.${index}`, kind: 'k', importance: Importance.Normal, priority: 200, idempotent: true, deadline: now + deadlineMilliseconds, arrivedAt: now, guaranteedShare: 0,
 				lastResort: false,
-				createdAt: now, entry: Math.floor(arrivals() * routers.length), effort: scenario.work(arrivals()), excluded: new Set(), startedAt: undefined, sentAt: 0, receivedAt: 0, target: 0,
-			};
-			send(call);
+				createdAt: now, entry: (firstEntry + place) % routers.length, effort: scenario.work(arrivals()), excluded: new Set(), startedAt: undefined, sentAt: 0, receivedAt: 0, target: 0,
+			}));
+			calls.map(call => send(call));
 			arrive(index + 1);
 		});
 	};
