--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -84,7 +84,7 @@
 		core, streams, budget, headers: settings.headers, log: openLogger(LogPart.Upstream),
 	});
 	const peersClient = new PeersClient({
-		core, streams, budget, log: openLogger(LogPart.Peers), clock,
+		core, streams, budget, log: openLogger(LogPart.Peers), clock, readsWorkReports: settings.placement.costAware,
 	});
 	const gossip = new GossipSocket(core, openLogger(LogPart.Control));
 	const store = new StoreTask({
@@ -282,6 +282,7 @@
 		slotShare: settings.admission.slotShare,
 		retries: settings.retries,
 		organisationHeader: settings.headers.organisation,
+		costAwarePlacement: settings.placement.costAware,
 	};
 }
 
--- a/packages/node/src/peer-connection.ts
+++ b/packages/node/src/peer-connection.ts
@@ -12,7 +12,7 @@
 } from '@laburnumspool/protocol';
 import type {MemoryBudget, Reservation} from './memory-budget.js';
 import {
-	congestionBytes, linkProtocol, PeerLink, type OutgoingFrame,
+	congestionBytes, linkProtocol, PeerLink, workReportsHeader, type OutgoingFrame,
 } from './peer-link.js';
 
 export const connectTimeoutMilliseconds = 500;
@@ -30,6 +30,8 @@
 	readonly peer: PeerAddress;
 	readonly budget: MemoryBudget;
 	readonly clock: () => number;
+	/** Whether the serving node is asked for work reports in its answers. */
+	readonly readsWorkReports: boolean;
 	/** Receives a frame. Throws `malformed` to close the connection. */
 	readonly received: (connection: PeerConnection, frame: Frame) => void;
 	/** Called exactly once. */
@@ -148,8 +150,9 @@
 	}
 
 	#startUpgrade({host, peersPort}: PeerAddress): ClientRequest {
+		const workReports = this.#definition.readsWorkReports ? {[workReportsHeader]: '1'} : {};
 		const upgradeRequest = sendRequest({
-			host, port: peersPort, path: '/calls', headers: {connection: 'upgrade', upgrade: linkProtocol}, agent: false,
+			host, port: peersPort, path: '/calls', headers: {connection: 'upgrade', upgrade: linkProtocol, ...workReports}, agent: false,
 		});
 		upgradeRequest.once('upgrade', (_response, socket, head) => {
 			clearInterval(this.#connectTimer);
--- a/packages/node/src/peers-client.ts
+++ b/packages/node/src/peers-client.ts
@@ -41,6 +41,8 @@
 	readonly clock: () => number;
 	/** Counts the large frames that arrive and the unsent calls that were cancelled. Without it they are not counted. */
 	readonly budget?: MemoryBudget;
+	/** Whether serving nodes are asked for work reports in their answers; false by default. */
+	readonly readsWorkReports?: boolean;
 };
 
 /**
@@ -148,6 +150,7 @@
 			peer,
 			budget: this.#budget,
 			clock,
+			readsWorkReports: this.#definition.readsWorkReports === true,
 			received: (from, {type, content}) => {
 				this.#frameHandlers[type]?.(from, content);
 			},
--- a/packages/node/src/peers-server.ts
+++ b/packages/node/src/peers-server.ts
@@ -9,7 +9,7 @@
 } from 'node:http';
 import type {Duplex} from 'node:stream';
 import {
-	CancelResult, ErrorKind, LaburnumspoolError, NodeEffectType, type NodeEffect,
+	CancelResult, ErrorKind, LaburnumspoolError, NodeEffectType, type AnswerFrame, type NodeEffect,
 } from '@laburnumspool/core';
 import {
 	decodeAnswerCredit, decodeCall, decodeCallHead, encodeAnswerChunkParts, encodeAnswerHead, encodeAnswerParts, FrameType, parseViewRequest, setCallBody, StringTableDecoder, StringTableEncoder,
@@ -21,7 +21,7 @@
 	readBody, sendClientError, sendProblem, toCallError,
 } from './http-messages.js';
 import type {MemoryBudget, Reservation} from './memory-budget.js';
-import {linkProtocol, PeerLink} from './peer-link.js';
+import {linkProtocol, PeerLink, workReportsHeader} from './peer-link.js';
 
 const keepAliveMilliseconds = 600_000;
 const maximumViewBytes = 64 * 1024;
@@ -29,6 +29,13 @@
 type AnswerEffect = Extract<NodeEffect, {type: NodeEffectType.SendAnswer}>;
 type AnswerHeadEffect = Extract<NodeEffect, {type: NodeEffectType.SendAnswerHead}>;
 
+type LinkState = {
+	readonly encoder: StringTableEncoder;
+	readonly decoder: StringTableDecoder;
+	/** Whether the entry node reads work reports. */
+	readonly carriesWork: boolean;
+};
+
 export type PeersServerDefinition = {
 	readonly core: CoreTask;
 	readonly streams: AnswerStreams;
@@ -48,8 +55,8 @@
 export class PeersServer {
 	readonly #definition: PeersServerDefinition;
 	readonly #server: Server;
-	/** Open links, each with its string tables. */
-	readonly #links = new Map<PeerLink, {readonly encoder: StringTableEncoder; readonly decoder: StringTableDecoder}>();
+	/** Open links. */
+	readonly #links = new Map<PeerLink, LinkState>();
 	/** Link of each call without an answer. */
 	readonly #linksByCall = new Map<string, PeerLink>();
 	/** Reservation of each call with a body. It outlives the link while an upstream still runs the call. */
@@ -136,17 +143,17 @@
 		}
 
 		socket.write(`HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: ${linkProtocol}\r\n\r\n`);
-		const stringTables = {encoder: new StringTableEncoder(), decoder: new StringTableDecoder()};
+		const state: LinkState = {encoder: new StringTableEncoder(), decoder: new StringTableDecoder(), carriesWork: request.headers[workReportsHeader] !== undefined};
 		const link: PeerLink = new PeerLink(socket, head, {
 			received: frame => {
-				this.#frameHandlers[frame.type]?.(link, frame.content, stringTables.decoder);
+				this.#frameHandlers[frame.type]?.(link, frame.content, state.decoder);
 			},
-			startLargeFrame: frame => this.#startLargeFrame(link, stringTables.decoder, frame),
+			startLargeFrame: frame => this.#startLargeFrame(link, state.decoder, frame),
 			closed: () => {
 				this.#removeLink(link);
 			},
 		});
-		this.#links.set(link, stringTables);
+		this.#links.set(link, state);
 	}
 
 	/** Reserves the length of a large call before its body is kept. Without room, and for a copy of an open call, the body is discarded. */
@@ -243,17 +250,17 @@
 	/** The body of the answer is held until it is written or the link is closed. */
 	#sendAnswer({frame, clock}: AnswerEffect): void {
 		const link = this.#linksByCall.get(frame.callId);
-		const stringTables = link === undefined ? undefined : this.#links.get(link);
+		const state = link === undefined ? undefined : this.#links.get(link);
 		this.#linksByCall.delete(frame.callId);
 		this.#releaseCall(frame.callId);
-		if (stringTables === undefined) {
+		if (state === undefined) {
 			return;
 		}
 
 		const answerBytes = frame.answer?.body.length ?? 0;
 		const held = answerBytes === 0 ? undefined : this.#definition.budget.hold(answerBytes);
 		link?.send({
-			type: FrameType.Answer, content: encodeAnswerParts({frame, clock}, stringTables.encoder), ...(held === undefined ? {} : {written: held.release}),
+			type: FrameType.Answer, content: encodeAnswerParts({frame: state.carriesWork ? frame : withoutWork(frame), clock}, state.encoder), ...(held === undefined ? {} : {written: held.release}),
 		});
 	}
 
@@ -303,3 +310,8 @@
 		response.end(JSON.stringify(manifest === undefined ? {} : {number: manifest.number, document: manifest.document}));
 	}
 }
+
+function withoutWork(frame: AnswerFrame): AnswerFrame {
+	const {work: _work, ...serving} = frame.serving;
+	return {...frame, serving};
+}
