Test that work reports of answers reach the choice at the entry node

Cause: the simulation hands reports to the router itself, so it would not notice an entry coordinator that drops them.

Change: a test of the node core with two peers, with and without cost-aware placement; the simulation no longer counts what no test reads.

Tested: all tests of the core passed.

--- a/packages/core/src/tests/node-core.test.ts
+++ b/packages/core/src/tests/node-core.test.ts
@@ -150,3 +150,29 @@
 	node.upstreamFailed('n.1.1', UpstreamFailure.Cancelled, 60);
 	t.equal(node.openCalls, 0);
 });
+
+// Guards against reports that arrive with answers and do not reach the choice.
+test('with cost-aware placement, calls go to the node whose answers report less work', async t => {
+	const play = (costAwarePlacement: boolean): string[] => {
+		const node = new NodeCore({...definition, own: createMember('p', {service: ''}), costAwarePlacement});
+		node.manifestArrived({number: 1, document: '', manifest}, 0);
+		node.viewArrived(['q', 'z'].map(name => createMember(name)), [], 0);
+		return Array.from({length: 6}, (_, index) => {
+			const send = node.callerRequested(createRequest(index, `r${index}`), index * 10).find(({type}) => type === NodeEffectType.SendCall)!;
+			const {to, frame: {callId}} = send as Extract<NodeEffect, {type: NodeEffectType.SendCall}>;
+			const work = {
+				workLeftMilliseconds: 0, ownMilliseconds: to.name === 'q' ? 10 : 100, slowdown: 1, ageMilliseconds: 0,
+			};
+			const serving = {
+				headroom: index === 0 ? 0.5 : 0.2, level: 0, downstreamLevel: 0, draining: false, revision: 1, servedMilliseconds: 5, work,
+			};
+			node.callAnswered({
+				callId, outcome: Outcome.Ran, coversAction: false, answer: {status: 200, headers: [], body: Buffer.alloc(0)}, error: undefined, retriesSpent: 0, serving,
+			}, 0, (index * 10) + 5);
+			return to.name;
+		});
+	};
+
+	t.same(play(false).slice(0, 3), ['z', 'q', 'z'], 'by headroom');
+	t.same(play(true), ['z', 'q', 'q', 'q', 'q', 'q'], 'by expected end, once both have reported');
+});
--- a/packages/core/src/tests/placement-simulation.ts
+++ b/packages/core/src/tests/placement-simulation.ts
@@ -6,7 +6,7 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {
-	AdmissionController, AdmissionEffectType, allAdmissionMechanisms, DispatchOutcome, Importance, PlacementRule, Router, RouteType, UpstreamWork, type AdmissionEffect, type Member, type Work,
+	AdmissionController, AdmissionEffectType, allAdmissionMechanisms, DispatchOutcome, Importance, Router, RouteType, UpstreamWork, type AdmissionEffect, type Member, type Work,
 } from '../index.js';
 import {createMember} from './fixtures.js';
 
@@ -38,7 +38,7 @@
 	readonly linkMilliseconds?: number;
 };
 
-export type SimulationResult = {readonly tailMilliseconds: number; readonly inTimeShare: number; readonly leftShare: number};
+export type SimulationResult = {readonly tailMilliseconds: number; readonly inTimeShare: number};
 
 type CallPlan = {readonly entry: number; readonly createdAt: number; readonly effort: number; readonly excluded: Set<string>};
 type Call = Work & CallPlan & {startedAt: number | undefined; sentAt: number; receivedAt: number; target: number};
@@ -174,10 +174,8 @@
 	}
 
 	const sorted = latencies.toSorted((left, right) => left - right);
-	const choiceCount = routers.flatMap(router => [...router.choices.values()]).reduce((sum, value) => sum + value, 0);
 	return {
 		tailMilliseconds: sorted[Math.floor(sorted.length * 0.99)]!,
 		inTimeShare: latencies.filter(milliseconds => milliseconds <= deadlineMilliseconds).length / latencies.length,
-		leftShare: routers.reduce((sum, router) => sum + (router.choices.get(PlacementRule.LeftNearest) ?? 0), 0) / Math.max(1, choiceCount),
 	};
 }
