--- a/packages/node/src/tests/link-nodes.ts
+++ b/packages/node/src/tests/link-nodes.ts
@@ -12,6 +12,7 @@
 import {
 	encodeCall, encodeFrameHeader, FrameReader, FrameType, StringTableEncoder, type Frame,
 } from '@laburnumspool/protocol';
+import {findFreePorts} from '@laburnumspool/standin-loopback';
 import type {Test} from 'tap';
 import {AnswerStreams} from '../answer-streams.js';
 import {CoreTask} from '../core-task.js';
@@ -68,7 +69,6 @@
 		core, streams: new AnswerStreams(), budget, requestBytes: maximumFrameBytes, slowSenderMilliseconds: waitMilliseconds,
 	});
 	// The server has no accessor for its port, so a free one is found first.
-	const {findFreePorts} = await import('@laburnumspool/standin-loopback');
 	const [port] = await findFreePorts(1);
 	await server.listen(port!, '127.0.0.1');
 	t.teardown(() => {
