--- a/demo/src/system.ts
+++ b/demo/src/system.ts
@@ -43,6 +43,8 @@
 	readonly settings?: Readonly<Record<string, unknown>>;
 	/** Settings under `store` besides its URL. */
 	readonly storeSettings?: Readonly<Record<string, unknown>>;
+	/** Options of Node.js for the nodes, such as a limit on the heap. */
+	readonly nodeOptions?: readonly string[];
 };
 
 /** One node with its upstream; addresses are `HOST:PORT`. */
@@ -138,7 +140,7 @@
 		name, ...location, host: '127.0.0.1', ports: {callers, peers, control: controlPort}, logLevel: 'info', ...definition.settings, store: {url: plan.storeUrl, ...definition.storeSettings},
 	}));
 	writeFileSync(upstreamFile, stringify({...service, node: `127.0.0.1:${callers}`}));
-	const node = startNode(name, settingsFile);
+	const node = startNode(name, settingsFile, definition.nodeOptions);
 	await node.whenPrinted('node: ready');
 	const upstream = startProcess(`${name}-upstream`, [join(root, 'standins/upstream/dist/main.js'), '--definition', upstreamFile, '--port', String(upstreamPort)]);
 	await upstream.whenPrinted('ready');
@@ -155,8 +157,8 @@
 }
 
 /** Starts a node's process; does not wait until the node is ready. */
-export function startNode(name: string, settingsFile: string): StartedProcess {
-	return startProcess(name, [join(root, 'packages/node/dist/main.js'), '--settings', settingsFile]);
+export function startNode(name: string, settingsFile: string, nodeOptions: readonly string[] = []): StartedProcess {
+	return startProcess(name, [...nodeOptions, join(root, 'packages/node/dist/main.js'), '--settings', settingsFile]);
 }
 
 /** Waits until every node reports as many members with a ready upstream as there are instances; throws after 150 polls, 100 ms apart. */
