Limit the memory and the connections that callers can take

A node limited the open requests of callers, not the bytes of their bodies: 70 bodies of 8 MB took it to 635 to 968 MB, and one-byte chunks kept ordinary requests without an answer.

Bodies of callers reserve memory in one budget (limits.heldBytes) before they are read, or while they arrive without a length, by the importance of the route or request kind. What does not fit is refused with 503 and its connection closed; the rest is discarded without being parsed. Stalled bodies lose their memory under pressure (408). Connections are limited (limits.callerConnections), and bodies in very small chunks are read in turns. The memory of refused bodies and of read chunks is freed at once, since the garbage collector let up to 200 MB accumulate beside the budget in trials.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,6 +41,7 @@
 export * from './node/manifest-watch.js';
 export * from './node/node-core.js';
 export type * from './node/node-definition.js';
+export type {RequestTarget} from './node/request-importance.js';
 export * from './at-most-once/attempt.js';
 export * from './at-most-once/claim-table.js';
 export * from './at-most-once/key-range.js';
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -8,6 +8,7 @@
 import type {SendFailure} from '../entry/entry-definition.js';
 import {ErrorKind, Outcome} from '../errors.js';
 import {EventType, toEvent, type EventDetails} from '../events/event.js';
+import type {Importance} from '../importance.js';
 import {HybridClock, type HybridTime} from '../events/hybrid-clock.js';
 import {describeIssues, type Revision} from '../manifest/adoption.js';
 import type {ManifestConfirmation} from '../manifest/freshness.js';
@@ -36,6 +37,7 @@
 import {MembershipEffects} from './membership-effects.js';
 import type {NodeDefinition} from './node-definition.js';
 import {AtMostOnceEffects} from './at-most-once-effects.js';
+import {importanceOf, type RequestTarget} from './request-importance.js';
 import {UpstreamLifecycle} from './upstream-lifecycle.js';
 import {VersionUpdates} from './version-updates.js';
 
@@ -167,6 +169,11 @@
 		return this.#manifest.routes !== undefined;
 	}
 
+	/** Importance of a caller's request by its head, before its body is read. It changes nothing. */
+	importanceOf(target: RequestTarget): Importance {
+		return importanceOf(target, this.#manifest.current?.manifest, this.#manifest.routes);
+	}
+
 	/** Reason why the node does not serve callers; undefined when it does. */
 	get notReadyReason(): string | undefined {
 		return this.#manifest.current === undefined ? 'No manifest revision is in force yet' : undefined;
--- a/packages/node/src/caller-request.ts
+++ b/packages/node/src/caller-request.ts
@@ -6,7 +6,7 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {
-	ErrorKind, LaburnumspoolError, requestDigest, type CallerRequest,
+	ErrorKind, LaburnumspoolError, requestDigest, type CallerRequest, type RequestTarget,
 } from '@laburnumspool/core';
 import {filterHeaders, HeaderName} from './http-messages.js';
 import type {HeaderNames} from './settings.js';
@@ -63,6 +63,20 @@
 	return new Set([timeLeft, HeaderName.TraceParent, HeaderName.TraceState, ...optionalNames]);
 }
 
+/**
+ * The parts of a request's head that its importance depends on.
+ *
+ * @param usesRoutes - whether requests are matched by host and path prefix
+ * @example
+ * toRequestTarget(request, '/deposits/pay?id=7', false).service; // 'deposits'
+ */
+export function toRequestTarget(request: IncomingMessage, url: string, usesRoutes: boolean): RequestTarget {
+	const {service = '', target = url} = usesRoutes ? {} : splitServicePath(url) ?? {};
+	return {
+		method: request.method ?? 'GET', host: request.headers.host ?? '', service, target,
+	};
+}
+
 function splitServicePath(url: string): {service: string; target: string} | undefined {
 	const position = url.indexOf('/', 1);
 	return !url.startsWith('/') || position === -1 ? undefined : {service: url.slice(1, position), target: url.slice(position)};
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -14,13 +14,21 @@
 	ErrorKind, LaburnumspoolError, NodeEffectType, Outcome, type AnswerHead, type CallerAnswer, type CallerLimits, type NodeEffect,
 } from '@laburnumspool/core';
 import type {AnswerStreams} from './answer-streams.js';
-import {createRequestReader, type RequestReader} from './caller-request.js';
+import {BodyReader, CallerLimit} from './body-reader.js';
+import {CallerAnswers} from './caller-answers.js';
+import {CallerConnections} from './caller-connections.js';
+import {createRequestReader, toRequestTarget, type RequestReader} from './caller-request.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
-	emptyBody, filterHeaders, hasBody, HeaderName, readBody, sendClientError, sendProblem, toCallError,
+	emptyBody, filterHeaders, hasBody, HeaderName, sendClientError, sendProblem,
 } from './http-messages.js';
+import type {Logger} from './logs.js';
+import {smallBodyBytes, type MemoryBudget, type Reservation} from './memory-budget.js';
 import {OpenRequests, type OpenRequest} from './open-requests.js';
 import {isNodePath, type NodeInterface} from './node-interface.js';
+import {
+	closeAfterDelay, isRefused, readUntilClosed, refuse,
+} from './refusals.js';
 import type {HeaderNames} from './settings.js';
 import {StreamedAnswer} from './streamed-answer.js';
 
@@ -36,20 +44,30 @@
 /** Longest turn of the event loop after which the check for new arrivals still holds. A turn without work takes far less. */
 const idleTurnMilliseconds = 1;
 
-/** Longest time for which a connection is read after the last answer on it. */
-const closingMilliseconds = 2000;
-
 /** Code of the parser error when a caller closes its connection in the middle of a request. */
 const incompleteRequestCode = 'HPE_INVALID_EOF_STATE';
-const reservedAnswerHeaders: ReadonlySet<string> = new Set([HeaderName.Outcome, HeaderName.Attempts]);
 
-type StartAnswerEffect = Extract<NodeEffect, {type: NodeEffectType.StartCallerAnswer}>;
+/** Size of the budget relative to the largest body, so that one fits beside the part for small bodies. */
+const budgetPerBody = 1.25;
+
+/** Body of a request, and the memory reserved for it. */
+type RequestBody = {readonly bytes: Buffer; readonly reservation: Reservation | undefined};
+
+const noBody: RequestBody = {bytes: emptyBody, reservation: undefined};
 
 export type CallersServerDefinition = {
 	readonly core: CoreTask;
 	readonly streams: AnswerStreams;
 	readonly requestBytes: number;
 	readonly openRequests: number;
+	/** Memory of the process for bodies. */
+	readonly budget: MemoryBudget;
+	/** Time without data after which a body may lose its memory to another one. */
+	readonly stalledBodyMilliseconds: number;
+	/** Largest number of connections. */
+	readonly connections: number;
+	readonly log: Logger;
+	readonly observeLimit: (limit: CallerLimit) => void;
 	readonly slowSenderMilliseconds: number;
 	readonly headers: HeaderNames;
 	/** Service of the own upstream; undefined when the node has none. */
@@ -72,6 +90,8 @@
 	readonly #server: Server;
 	readonly #openRequests: OpenRequests;
 	readonly #readRequest: RequestReader;
+	readonly #bodies: BodyReader;
+	readonly #connections: CallerConnections;
 	#maximumBodyBytes: number;
 	#maximumHeaderBytes = defaultHeaderBytes;
 	#lastEntryId = 0;
@@ -82,11 +102,26 @@
 	constructor(definition: CallersServerDefinition) {
 		this.#definition = definition;
 		this.#maximumBodyBytes = definition.requestBytes;
+		definition.budget.raiseTo(definition.requestBytes * budgetPerBody);
 		const {core, headers, service} = definition;
 		this.#readRequest = createRequestReader({headers, service, usesRoutes: () => core.core.usesRoutes});
 		this.#openRequests = new OpenRequests(entryId => {
 			definition.core.post({type: CoreMessageType.CallerDisconnected, entryId});
 		});
+		this.#bodies = new BodyReader({
+			budget: definition.budget,
+			stalledMilliseconds: definition.stalledBodyMilliseconds,
+			observeLimit: (limit, detail) => {
+				this.#reportLimit(limit, detail);
+			},
+		});
+		this.#connections = new CallerConnections({
+			maximumConnections: definition.connections,
+			isBusy: socket => this.#openRequests.hasOpen(socket) || this.#bodies.isReading(socket) || socket.writableLength > 0,
+			observeClosed: () => {
+				this.#reportLimit(CallerLimit.Connections, `there are ${definition.connections} connections`);
+			},
+		});
 		this.#server = createServer({
 			maxHeaderSize: parserHeaderBytes,
 			headersTimeout: definition.slowSenderMilliseconds,
@@ -96,8 +131,9 @@
 			this.#arrivalCount += 1;
 			this.#handle(request, response);
 		});
-		this.#server.on('connection', () => {
+		this.#server.on('connection', (socket: Socket) => {
 			this.#arrivalCount += 1;
+			this.#connections.add(socket);
 		});
 		this.#server.on('timeout', (socket: Socket) => {
 			void closeIfIdle(socket);
@@ -107,14 +143,28 @@
 				socket.destroy();
 			} else if (!this.#openRequests.stopReading(socket as Socket)) {
 				sendClientError(error, socket);
+				closeAfterDelay(socket as Socket);
 			}
+
+			this.#bodies.abandon(socket as Socket);
+		});
+		const answers = new CallerAnswers({
+			openRequests: this.#openRequests,
+			streams: definition.streams,
+			budget: definition.budget,
+			requestIdHeader: headers.requestId,
+			isStopping: () => this.#isStopping,
+			observeAnswer: definition.observeAnswer,
+			observeEnd: socket => {
+				this.#connections.use(socket);
+			},
 		});
 		definition.core.handle({
-			[NodeEffectType.StartCallerAnswer]: effect => {
-				this.#startAnswer(effect);
+			[NodeEffectType.StartCallerAnswer](effect) {
+				answers.start(effect);
 			},
-			[NodeEffectType.AnswerCaller]: ({entryId, answer}) => {
-				this.#sendAnswer(entryId, answer);
+			[NodeEffectType.AnswerCaller]({entryId, answer}) {
+				answers.send(entryId, answer);
 			},
 		});
 	}
@@ -133,6 +183,7 @@
 	setLimits({headerBytes, headerMilliseconds, bodyBytes, idleMilliseconds}: CallerLimits): void {
 		this.#maximumHeaderBytes = headerBytes ?? this.#maximumHeaderBytes;
 		this.#maximumBodyBytes = bodyBytes ?? this.#maximumBodyBytes;
+		this.#definition.budget.raiseTo(this.#maximumBodyBytes * budgetPerBody);
 		this.#server.headersTimeout = headerMilliseconds ?? this.#server.headersTimeout;
 		this.#server.keepAliveTimeout = idleMilliseconds ?? this.#server.keepAliveTimeout;
 	}
@@ -167,6 +218,7 @@
 
 	close(): void {
 		this.#server.close();
+		this.#bodies.close();
 		this.#server.closeAllConnections();
 	}
 
@@ -183,7 +235,8 @@
 	#handle(request: IncomingMessage, response: ServerResponse): void {
 		const url = request.url ?? '/';
 		const headerBytes = headerBytesOf(request, url);
-		if (this.#openRequests.isClosing(request.socket)) {
+		this.#connections.use(request.socket);
+		if (this.#openRequests.isClosing(request.socket) || isRefused(request.socket)) {
 			request.resume();
 		} else if (headerBytes > this.#maximumHeaderBytes) {
 			const detail = `The headers have ${headerBytes} bytes; at most ${this.#maximumHeaderBytes} are accepted`;
@@ -200,7 +253,7 @@
 	/** Synchronous, because most requests have no body. */
 	#handleWithoutBody(request: IncomingMessage, response: ServerResponse, url: string): void {
 		try {
-			this.#open(request, response, url, emptyBody);
+			this.#open(request, response, url, noBody);
 		} catch (error) {
 			refuse(request, response, error);
 		}
@@ -209,7 +262,17 @@
 	/** Does not read the body when the node has no capacity. `#open` checks again, since other requests may arrive in the meantime. */
 	async #handleBody(request: IncomingMessage, response: ServerResponse, url: string): Promise<void> {
 		this.#requireCapacity();
-		this.#open(request, response, url, await readBody(request, this.#maximumBodyBytes));
+		const {core} = this.#definition.core;
+		const importance = core.importanceOf(toRequestTarget(request, url, core.usesRoutes));
+		const {bytes, reservation} = await this.#bodies.read(request, this.#maximumBodyBytes, importance);
+		let isOpen = false;
+		try {
+			isOpen = this.#open(request, response, url, {bytes, reservation});
+		} finally {
+			if (!isOpen) {
+				reservation.release();
+			}
+		}
 	}
 
 	async #refuseOnError(request: IncomingMessage, response: ServerResponse, handled: Promise<void>): Promise<void> {
@@ -227,97 +290,31 @@
 		}
 	}
 
-	#open(request: IncomingMessage, response: ServerResponse, url: string, body: Buffer): void {
+	/** Passes a request to the core; returns false when its connection is closed or closing. */
+	#open(request: IncomingMessage, response: ServerResponse, url: string, {bytes, reservation}: RequestBody): boolean {
 		const {socket} = request;
-		if (socket.destroyed || this.#openRequests.isClosing(socket)) {
-			return;
+		if (socket.destroyed || this.#openRequests.isClosing(socket) || isRefused(socket)) {
+			return false;
 		}
 
 		this.#requireCapacity();
 		this.#lastEntryId += 1;
 		const entryId = this.#lastEntryId;
-		const callerRequest = this.#readRequest(entryId, request, url, body);
+		const callerRequest = this.#readRequest(entryId, request, url, bytes);
 		this.#openRequests.add(entryId, {
-			response, socket, startedAt: performance.now(), requestId: callerRequest.requestId ?? '', isFirst: this.#openRequests.isUnused(socket),
+			response, socket, startedAt: performance.now(), requestId: callerRequest.requestId ?? '', isFirst: this.#openRequests.isUnused(socket), reservation,
 		});
 		if (!this.#definition.core.post({type: CoreMessageType.CallerRequested, request: callerRequest})) {
 			this.#openRequests.remove(entryId);
 			throw new LaburnumspoolError(ErrorKind.Overloaded, 'The message queue of the node is full');
 		}
-	}
-
-	#sendAnswer(entryId: number, answer: CallerAnswer): void {
-		const openRequest = this.#openRequests.remove(entryId);
-		if (openRequest === undefined) {
-			return;
-		}
-
-		const {response, startedAt, streamedAnswer} = openRequest;
-		this.#definition.observeAnswer(answer.outcome, performance.now() - startedAt);
-		if (streamedAnswer !== undefined) {
-			if (answer.answer?.isStreamed === true) {
-				streamedAnswer.finish();
-			} else {
-				streamedAnswer.breakOff();
-			}
-
-			return;
-		}
-
-		this.#closeConnectionIfLast(entryId, openRequest);
-		if (answer.answer === undefined) {
-			sendProblem(response, answer.error ?? {kind: ErrorKind.UpstreamBroken, detail: 'No answer was received'}, answer.outcome, answer.attempts);
-			return;
-		}
-
-		const {status, body} = answer.answer;
-		const headerPairs = this.#toAnswerHeaders(openRequest, answer.answer);
-		headerPairs.push(HeaderName.Outcome, answer.outcome, HeaderName.Attempts, String(answer.attempts), 'content-length', String(body.length));
-		response.writeHead(status, headerPairs);
-		response.end(body);
-	}
-
-	/** Sends the head of an answer whose body follows. Its attempts are not known yet. */
-	#startAnswer({entryId, callId, head}: StartAnswerEffect): void {
-		const openRequest = this.#openRequests.get(entryId);
-		if (openRequest === undefined) {
-			return;
-		}
 
-		const {response} = openRequest;
-		this.#closeConnectionIfLast(entryId, openRequest);
-		const headerPairs = this.#toAnswerHeaders(openRequest, head);
-		headerPairs.push(HeaderName.Outcome, Outcome.Ran);
-		if (head.bodyBytes !== undefined) {
-			headerPairs.push('content-length', String(head.bodyBytes));
-		}
-
-		response.writeHead(head.status, headerPairs);
-		const streamedAnswer = new StreamedAnswer(response, head.bodyBytes, bytes => {
-			this.#definition.streams.consumed(callId, bytes);
-		});
-		openRequest.streamedAnswer = streamedAnswer;
-		this.#definition.streams.attach(callId, streamedAnswer);
-	}
-
-	/** While the node stops, the answer to the last request of a connection closes the connection. */
-	#closeConnectionIfLast(entryId: number, {response, socket}: OpenRequest): void {
-		if ((this.#isStopping || this.#openRequests.isUnreadable(socket)) && this.#openRequests.closeWithAnswer(entryId, socket)) {
-			response.shouldKeepAlive = false;
-			if (!this.#openRequests.isUnreadable(socket)) {
-				readUntilClosed(socket);
-			}
-		}
+		return true;
 	}
 
-	#toAnswerHeaders({requestId}: OpenRequest, {headers}: Pick<AnswerHead, 'headers'>): string[] {
-		const headerPairs = filterHeaders(headers, reservedAnswerHeaders);
-		const {requestId: requestIdHeader} = this.#definition.headers;
-		if (requestIdHeader !== undefined && requestId !== '') {
-			headerPairs.push(requestIdHeader, requestId);
-		}
-
-		return headerPairs;
+	#reportLimit(limit: CallerLimit, detail: string): void {
+		this.#definition.observeLimit(limit);
+		this.#definition.log.warn(`limit ${limit}: ${detail}`, {event: limit});
 	}
 }
 
@@ -339,31 +336,6 @@
 	}
 }
 
-/**
- * Makes the last answer on a connection end it but not destroy it, so that what the caller has sent behind its last request
- * is read. The kernel resets a connection that is closed with unread bytes, and drops the answer that it has not sent yet.
- */
-function readUntilClosed(socket: Socket): void {
-	socket.destroySoon = () => {
-		socket.end();
-		const timer = setTimeout(() => socket.destroy(), closingMilliseconds);
-		socket.once('close', () => {
-			clearTimeout(timer);
-		});
-	};
-}
-
 function headerBytesOf(request: IncomingMessage, url: string): number {
 	return request.rawHeaders.reduce((sum, text) => sum + text.length, url.length + (request.rawHeaders.length / 2 * headerSeparatorBytes));
 }
-
-/** Answers with an error, and then closes the connection unless the request was read to its end. */
-function refuse(request: IncomingMessage, response: ServerResponse, error: unknown): void {
-	response.once('finish', () => {
-		// Destroying a request that was read would close its connection under the later ones.
-		if (!request.complete) {
-			request.destroy();
-		}
-	});
-	sendProblem(response, toCallError(error));
-}
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -20,6 +20,7 @@
 import {logEvent} from './event-log.js';
 import {GossipSocket} from './gossip-socket.js';
 import {LogPart, type LoggerFactory, type Logger} from './logs.js';
+import {MemoryBudget} from './memory-budget.js';
 import {openMetrics} from './metrics.js';
 import {NodeInterface} from './node-interface.js';
 import {PeersClient} from './peers-client.js';
@@ -96,6 +97,7 @@
 		readManifest: deployment.readManifest,
 		pullManifest: async from => pullManifest(from, core, peersClient, deployment, openLogger(LogPart.Peers)),
 	});
+	const budget = new MemoryBudget(settings.limits.heldBytes);
 	const requestLimits = {requestBytes: settings.limits.requestBytes, slowSenderMilliseconds: settings.limits.slowSenderSeconds * 1000};
 	const metrics = await openMetrics(settings.statsd, settings.name);
 	const nodeInterface = new NodeInterface({
@@ -105,6 +107,11 @@
 	const callersServer = new CallersServer({
 		core,
 		streams,
+		budget,
+		stalledBodyMilliseconds: settings.limits.stalledBodyMilliseconds,
+		connections: settings.limits.callerConnections,
+		log: openLogger(LogPart.Callers),
+		observeLimit: metrics.countLimit,
 		openRequests: settings.limits.openRequests,
 		headers: settings.headers,
 		service: settings.upstream?.service,
@@ -168,7 +175,7 @@
 
 		if (now - gaugesSetAt >= gaugeIntervalMilliseconds) {
 			gaugesSetAt = now;
-			metrics.gauge(core.core);
+			metrics.gauge(core.core, budget.heldBytes);
 			peersClient.closeUnusedConnections(core.core.members);
 			controlCalls?.closeIdle();
 		}
--- a/packages/node/src/logs.ts
+++ b/packages/node/src/logs.ts
@@ -10,6 +10,7 @@
 /** Parts of the node that log. */
 export enum LogPart {
 	Node = 'node',
+	Callers = 'callers',
 	Peers = 'peers',
 	Upstream = 'upstream',
 	Control = 'control',
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -9,6 +9,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {CallerLimit} from './body-reader.js';
 
 const metricPrefix = 'laburnumspool_';
 const statsdPrefix = 'laburnumspool.';
@@ -25,8 +26,10 @@
 export type Metrics = {
 	/** Counts an event. */
 	readonly count: (event: NodeEvent) => void;
-	/** Sets the gauges from the present state of the core. */
-	readonly gauge: (core: NodeCore) => void;
+	/** Sets the gauges from the present state of the core and of the memory budget. */
+	readonly gauge: (core: NodeCore, heldBytes: number) => void;
+	/** Counts a use of a limit on callers. */
+	readonly countLimit: (limit: CallerLimit) => void;
 	/** Records the time from a caller's complete request to its answer. */
 	readonly observeAnswer: (kind: string, milliseconds: number) => void;
 	/** All metrics in the Prometheus text format, and their content type. */
@@ -62,6 +65,9 @@
 	const latencies = new Histogram({
 		name: `${metricPrefix}answer_milliseconds`, help: 'Time from a caller\'s whole request to its answer', labelNames: ['kind'], buckets: latencyBucketsMilliseconds, registers,
 	});
+	const limitCounts = new Counter({
+		name: `${metricPrefix}caller_limits_total`, help: 'Requests and connections of callers that were refused, slowed down or closed by a limit', labelNames: ['reason'], registers,
+	});
 	const histogramByKind = new Map<string, {readonly observe: (milliseconds: number) => void}>();
 	const statsd = statsdServer === undefined ? undefined : await openStatsd(statsdServer, node);
 	return {
@@ -82,13 +88,17 @@
 
 			statsd?.increment(`events.${type}`, 1, {service, kind, reason});
 		},
-		gauge(core) {
-			Object.entries(gaugeValuesOf(core)).map(([name, value]) => {
+		gauge(core, heldBytes) {
+			Object.entries({...gaugeValuesOf(core), held_bytes: heldBytes}).map(([name, value]) => {
 				gauges.set({name}, value);
 				statsd?.gauge(name, value);
 				return name;
 			});
 		},
+		countLimit(limit) {
+			limitCounts.inc({reason: limit});
+			statsd?.increment('caller_limits', 1, {reason: limit});
+		},
 		observeAnswer(kind, milliseconds) {
 			const known = histogramByKind.get(kind) ?? latencies.labels({kind});
 			histogramByKind.set(kind, known);
--- a/packages/node/src/open-requests.ts
+++ b/packages/node/src/open-requests.ts
@@ -5,6 +5,7 @@
  */
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {Reservation} from './memory-budget.js';
 import type {StreamedAnswer} from './streamed-answer.js';
 
 export type OpenRequest = {
@@ -16,6 +17,8 @@
 	readonly requestId: string;
 	/** Whether it is the first request on its connection. */
 	readonly isFirst: boolean;
+	/** Memory of the body, released with the answer or at the end of the connection; undefined without a body. */
+	readonly reservation: Reservation | undefined;
 	/** The streamed answer that has begun; undefined before. */
 	streamedAnswer?: StreamedAnswer;
 };
@@ -36,7 +39,7 @@
  *
  * @example
  * const open = new OpenRequests(entryId => cancel(entryId));
- * open.add(7, {response, socket, startedAt, requestId, isFirst: true});
+ * open.add(7, {response, socket, startedAt, requestId, isFirst: true, reservation: undefined});
  * open.remove(7)?.response.end();
  */
 export class OpenRequests {
@@ -73,6 +76,7 @@
 		if (request !== undefined) {
 			this.#requests.delete(entryId);
 			this.#connections.get(request.socket)?.entryIds.delete(entryId);
+			request.reservation?.release();
 		}
 
 		return request;
@@ -119,6 +123,11 @@
 		return true;
 	}
 
+	/** Whether a connection has requests without an answer. */
+	hasOpen(socket: Socket): boolean {
+		return (this.#connections.get(socket)?.entryIds.size ?? 0) > 0;
+	}
+
 	/** Whether no further request can be read from a connection. */
 	isUnreadable(socket: Socket): boolean {
 		return this.#connections.get(socket)?.isUnreadable ?? false;
@@ -137,6 +146,7 @@
 		socket.once('close', () => {
 			this.#connections.delete(socket);
 			[...connection.entryIds].map(entryId => {
+				this.#requests.get(entryId)?.reservation?.release();
 				this.#requests.delete(entryId);
 				this.#reportDisconnect(entryId);
 				return entryId;
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -91,6 +91,12 @@
 	limits: valibot.optional(valibot.strictObject({
 		requestBytes: valibot.optional(positive, 1024 * 1024),
 		openRequests: valibot.optional(positive, 10_000),
+		/** Memory for bodies. It is raised to 1.25 times the largest body that is accepted. */
+		heldBytes: valibot.optional(positive, 96 * 1024 * 1024),
+		/** Time without data after which a body loses its memory to another one, while memory is short. */
+		stalledBodyMilliseconds: valibot.optional(positive, 1000),
+		/** Connections of callers. The default leaves 1,100 of the 4,100 descriptors of the smallest VM to peers, store and upstream. */
+		callerConnections: valibot.optional(positive, 3000),
 		slowSenderSeconds: valibot.optional(positive, 10),
 		claims: valibot.optional(positive, 50_000),
 		claimAnswerBytes: valibot.optional(positive, 16 * 1024 * 1024),
--- a/packages/node/src/tests/callers-server.test.ts
+++ b/packages/node/src/tests/callers-server.test.ts
@@ -5,7 +5,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {Worker} from 'node:worker_threads';
 import {
-	NodeEffectType, Outcome, type CallerRequest, type NodeEffect,
+	Importance, NodeEffectType, Outcome, type CallerRequest, type NodeEffect,
 } from '@laburnumspool/core';
 import {findFreePorts} from '@laburnumspool/standin-loopback';
 import {test, type Test} from 'tap';
@@ -15,7 +15,8 @@
 	CoreMessageType, type CoreMessage, type CoreTask, type EffectHandlers,
 } from '../core-task.js';
 import type {NodeInterface} from '../node-interface.js';
-import {doNothing, blockEventLoop} from './fixtures.js';
+import {MemoryBudget} from '../memory-budget.js';
+import {doNothing, blockEventLoop, silentLog} from './fixtures.js';
 
 type AnswerCaller = Extract<NodeEffect, {type: NodeEffectType.AnswerCaller}>;
 
@@ -33,7 +34,7 @@
 	const messageEvents = new EventTarget();
 	let handlers: EffectHandlers = {};
 	const core = {
-		core: {usesRoutes: true},
+		core: {usesRoutes: true, importanceOf: () => Importance.Normal},
 		handle(registered: EffectHandlers) {
 			handlers = registered;
 		},
@@ -47,6 +48,11 @@
 		streams: new AnswerStreams(),
 		requestBytes: 100_000,
 		openRequests: 100,
+		budget: new MemoryBudget(1024 * 1024),
+		stalledBodyMilliseconds: 1000,
+		connections: 1000,
+		log: silentLog,
+		observeLimit: doNothing,
 		slowSenderMilliseconds,
 		headers: {timeLeft: 'x-time', requestId: 'x-id'},
 		service: 'catalogue',
