--- a/packages/core/src/tests/routes.test.ts
+++ b/packages/core/src/tests/routes.test.ts
@@ -2,6 +2,7 @@
 import {
 	Importance, RouteTable, safeParseManifest, Semantics, SplitSelector, type Manifest,
 } from '../index.js';
+import {importanceOf} from '../node/request-importance.js';
 
 const document = {
 	version: 7,
@@ -46,6 +47,28 @@
 	t.equal(orders?.policy.importance, Importance.Critical);
 });
 
+// Guards against the refusal of important bodies for the sake of less important ones.
+test('the importance of a request follows from its route or kind, and is normal without one', async t => {
+	const routed = parse();
+	const table = new RouteTable(routed.routes ?? []);
+	const target = {
+		method: 'PUT', host: 'shop.example', service: '', target: '/designs/orders/4',
+	};
+	t.equal(importanceOf(target, routed, table), Importance.Critical);
+	t.equal(importanceOf({...target, host: 'other.example'}, routed, table), Importance.Normal);
+	const requests = [{
+		kind: 'pay', methods: ['POST'], path: '/pay*', importance: Importance.Critical, semantics: Semantics.Idempotent, waitMilliseconds: 100,
+	}];
+	const kinds = safeParseManifest({name: 'shop', retriesPerAction: 0, services: {deposits: {requests}}});
+	const manifest = kinds.success ? kinds.manifest : undefined;
+	const pay = {
+		method: 'POST', host: '', service: 'deposits', target: '/pay/4',
+	};
+	t.equal(importanceOf(pay, manifest, undefined), Importance.Critical);
+	t.same([{...pay, method: 'GET'}, {...pay, service: 'other'}].map(other => importanceOf(other, manifest, undefined)), [Importance.Normal, Importance.Normal]);
+	t.equal(importanceOf(pay, undefined, undefined), Importance.Normal, 'without a manifest');
+});
+
 test('the services of a split are selected in proportion to their weights within each cycle', async t => {
 	const route = new RouteTable(parse().routes ?? []).findRoute('shop.example', '/designs/orders/1')!;
 	const selector = new SplitSelector();
