Encode quota messages as datagrams that gossip refuses

Cause: reports and grants of quotas travel over the control port, beside gossip, to nodes that may not know them.

Change: a first byte that is an invalid tag in Protocol Buffers, then one message with uses or grants. Received values are checked; 64-bit counts are read as numbers.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from './call-codec.js';
 export * from './control-codec.js';
+export * from './quota-codec.js';
 export * from './view-codec.js';
 export * from './frames.js';
 export * from './stream-codec.js';
--- a/packages/protocol/src/tests/codecs.test.ts
+++ b/packages/protocol/src/tests/codecs.test.ts
@@ -1,11 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {
-	ErrorKind, GossipType, Importance, Liveness, AtMostOnceMessageType, Outcome, Semantics, UpstreamState, type AnswerFrame, type CallFrame, type Member,
+	ErrorKind, GossipType, Importance, Liveness, AtMostOnceMessageType,
+	Outcome, QuotaMessageType, Semantics, UpstreamState, type AnswerFrame, type CallFrame, type Member, type QuotaMessage,
 } from '@laburnumspool/core';
 import fc from 'fast-check';
 import {test} from 'tap';
 import {
-	decodeAnswer, decodeCall, decodeGossip, encodeAnswer, encodeCall, encodeGossip, fromWireAtMostOnceMessage, StringTableDecoder, StringTableEncoder, toWireAtMostOnceMessage,
+	decodeAnswer, decodeCall, decodeGossip, decodeQuota,
+	encodeAnswer, encodeCall, encodeGossip, encodeQuota, fromWireAtMostOnceMessage, StringTableDecoder, StringTableEncoder, toWireAtMostOnceMessage,
 } from '../index.js';
 
 const member: Member = {
@@ -111,8 +113,44 @@
 	t.match(fromWireAtMostOnceMessage(toWireAtMostOnceMessage({...address, type: AtMostOnceMessageType.SyncAcknowledged})), {type: AtMostOnceMessageType.SyncAcknowledged, epoch: 4});
 });
 
+const quotaHeader = {
+	sender: 'node-1', incarnation: 1_800_000_000_000, toIncarnation: 1_800_000_000_001, stamp: 5,
+};
+const report = {
+	...quotaHeader, type: QuotaMessageType.Report as const, uses: [{
+		organisation: 'a', part: 1, series: 1, granted: 0, used: 5_000_000_000, returned: 0, asked: 4,
+	}],
+};
+const reply = {
+	...quotaHeader, type: QuotaMessageType.Reply as const, grants: [{
+		organisation: 'a', part: 0, series: 0, granted: 0, rate: 0.5, waitMilliseconds: 12, isLow: true,
+	}],
+};
+
+test('quota datagrams are equal after encoding and decoding, and the decoders of gossip and of quotas refuse each other\'s datagrams', async t => {
+	const gossip = encodeGossip({
+		type: GossipType.Ping, sequence: 5, sender: member, target: '', members: [], rumors: [],
+	}, 1);
+	[report, reply].map(message => t.same(decodeQuota(encodeQuota(message)), message));
+	[report, reply].map(message => t.throws(() => decodeGossip(encodeQuota(message)), {kind: ErrorKind.Malformed, name: 'LaburnumspoolError'}));
+	t.throws(() => decodeQuota(gossip), {kind: ErrorKind.Malformed, name: 'LaburnumspoolError'});
+});
+
+test('a quota datagram with a part, name, count or rate out of range is refused as malformed', async t => {
+	const [use] = report.uses;
+	const [grant] = reply.grants;
+	const invalid: QuotaMessage[] = [
+		...[{part: 2}, {series: 0}, {organisation: ''}, {used: 2 ** 60}].map(change => ({...report, uses: [{...use!, ...change}]})),
+		...[{rate: Infinity}, {rate: Number.NaN}, {rate: -1}].map(change => ({...reply, grants: [{...grant!, ...change}]})),
+		{...report, sender: ''},
+	];
+	invalid.map(message => t.throws(() => decodeQuota(encodeQuota(message)), {kind: ErrorKind.Malformed, name: 'LaburnumspoolError'}));
+});
+
 test('random bytes are either decoded or refused as malformed', async t => {
-	fc.assert(fc.property(fc.uint8Array({maxLength: 200}), bytes => [decodeCall, decodeAnswer, (content: Buffer) => decodeGossip(content)].every(decode => {
+	fc.assert(fc.property(fc.uint8Array({maxLength: 200}), bytes => [
+		decodeCall, decodeAnswer, (content: Buffer) => decodeGossip(content), (content: Buffer) => decodeQuota(Buffer.concat([Buffer.of(7), content])),
+	].every(decode => {
 		try {
 			decode(Buffer.from(bytes), new StringTableDecoder());
 			return true;
