Wire the quotas of organisations into the node

Cause: the cores of quotas need members, manifests, datagrams and the tick.

Counters of admitted and refused requests and the number of owned parts are gauges once there are any.

The entry does not ask the quotas yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,6 +41,7 @@
 export * from './node/manifest-watch.js';
 export * from './node/node-core.js';
 export type * from './node/node-definition.js';
+export * from './organisations/manifest-quotas.js';
 export * from './organisations/messages.js';
 export * from './organisations/quota.js';
 export * from './organisations/quota-coordinator.js';
--- a/packages/core/src/node/effects.ts
+++ b/packages/core/src/node/effects.ts
@@ -10,6 +10,7 @@
 import type {
 	AnswerFrame, AnswerHead, CallerAnswer, CallFrame, RequestPayload,
 } from '../messages.js';
+import type {QuotaMessage} from '../organisations/messages.js';
 import type {AtMostOnceMessage} from '../at-most-once/messages.js';
 import type {Holder, RangeRecord} from '../at-most-once/record.js';
 
@@ -74,6 +75,7 @@
 	Dispatch = 'dispatch',
 	CancelDispatch = 'cancel-dispatch',
 	SendGossip = 'send-gossip',
+	SendQuota = 'send-quota',
 	ExchangeMembers = 'exchange-members',
 	SendAtMostOnce = 'send-once',
 	ReadRecord = 'read-record',
@@ -97,6 +99,7 @@
 		| {readonly type: NodeEffectType.Dispatch; readonly callId: string; readonly requestId: string; readonly request: RequestPayload; readonly traceparent: string; readonly tracestate: string; readonly timeLeftMilliseconds: number; readonly answerBytesLimit: number; /** Whether a large answer is passed on while it arrives. */ readonly canStream: boolean}
 		| {readonly type: NodeEffectType.CancelDispatch; readonly callId: string}
 		| {readonly type: NodeEffectType.SendGossip; readonly to: Address; readonly message: GossipMessage; readonly clock: HybridTime}
+		| {readonly type: NodeEffectType.SendQuota; readonly to: Address; readonly message: QuotaMessage}
 		| {readonly type: NodeEffectType.ExchangeMembers; readonly to: Member}
 		| {readonly type: NodeEffectType.SendAtMostOnce; readonly to: Member; readonly from: Holder; readonly message: AtMostOnceMessage}
 		| {readonly type: NodeEffectType.ReadRecord; readonly service: string}
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -11,7 +11,7 @@
 import {HybridClock, type HybridTime} from '../events/hybrid-clock.js';
 import {describeIssues, type Revision} from '../manifest/adoption.js';
 import type {ManifestConfirmation} from '../manifest/freshness.js';
-import type {Member} from '../membership/member.js';
+import {addressOf, type Member} from '../membership/member.js';
 import {Membership} from '../membership/membership.js';
 import type {GossipMessage} from '../membership/messages.js';
 import {manifestTopic, rangesTopic} from '../membership/rumors.js';
@@ -23,6 +23,9 @@
 import {AtMostOnceCoordinator} from '../at-most-once/at-most-once-coordinator.js';
 import {RangeDirectory} from '../at-most-once/range-directory.js';
 import {holderOf, type Holder, type VersionedRecord} from '../at-most-once/record.js';
+import {quotasOf} from '../organisations/manifest-quotas.js';
+import type {QuotaMessage} from '../organisations/messages.js';
+import {QuotaCoordinator, type QuotaDatagram} from '../organisations/quota-coordinator.js';
 import {Router} from '../routing/router.js';
 import type {UpstreamFailure} from '../serving/served-call.js';
 import {CallFlow} from './call-flow.js';
@@ -58,6 +61,8 @@
  * node.callerRequested(request, now); // [{type: NodeEffectType.Dispatch, ...}]
  */
 export class NodeCore {
+	/** Quotas of organisations; the entry asks them for each request of a caller. */
+	readonly quotas: QuotaCoordinator;
 	readonly #definition: NodeDefinition;
 	readonly #clock: HybridClock;
 	readonly #manifest = new ActiveManifest();
@@ -87,6 +92,7 @@
 		this.#manifestWatch = new ManifestWatch({
 			manifest: this.#manifest, membership: this.#membership, maximumAgeMilliseconds: definition.manifestAgeMilliseconds ?? defaultManifestAgeMilliseconds,
 		});
+		this.quotas = new QuotaCoordinator({own: () => this.#membership.own, random: definition.random});
 		this.#versions = new VersionUpdates({manifest: this.#manifest, directory: this.#directory, membership: this.#membership});
 		this.#atMostOnce = this.#createAtMostOnce();
 		const makeEvent = (details: EventDetails): NodeEffect => this.#event(details);
@@ -183,7 +189,8 @@
 			return [this.#refuseCaller(caller.entryId, caller.key, {kind: ErrorKind.NotReady, detail: 'The node has no manifest yet'})];
 		}
 
-		return !this.#hasEndedCalls && this.#manifest.hold(caller, now) ? [] : this.#openCall(caller, current, now);
+		const opened = !this.#hasEndedCalls && this.#manifest.hold(caller, now) ? [] : this.#openCall(caller, current, now);
+		return concatenateEffects(opened, this.#sendQuotas(this.quotas.takeDatagrams(now)));
 	}
 
 	callerDisconnected(entryId: number, now: number): NodeEffect[] {
@@ -265,12 +272,19 @@
 		return this.#handleMembershipEffects([...this.#membership.mergeView(members, now), ...broadcast], now);
 	}
 
+	/** Processes a report or a grant of another node. */
+	quotaArrived(message: QuotaMessage, now: number): NodeEffect[] {
+		return this.#sendQuotas(this.quotas.receive(message, now));
+	}
+
 	manifestArrived(revision: Revision, now: number): NodeEffect[] {
 		if (!this.#manifest.offer(revision)) {
 			return [];
 		}
 
 		this.#manifestWatch.adopted(now);
+		this.quotas.setMembers(this.#membership.members, now);
+		this.quotas.setQuotas(quotasOf(revision.manifest), now);
 		this.#updateAtMostOnceService();
 		const broadcast = this.#handleMembershipEffects(this.#membership.broadcast({topic: manifestTopic, version: revision.number}), now);
 		const event = this.#event({type: EventType.ManifestAdopted, detail: `revision ${revision.number}`, ...describeIssues(revision)});
@@ -340,7 +354,7 @@
 
 	/** Processes timers and deadlines. Call it every few milliseconds. */
 	advance(now: number): NodeEffect[] {
-		const calls = this.#flow.advance(now);
+		const calls = concatenateEffects(this.#flow.advance(now), this.#sendQuotas(this.quotas.takeDatagrams(now)));
 		if (now < this.#nextMaintenanceAt) {
 			return calls;
 		}
@@ -387,6 +401,7 @@
 		if (this.#membershipEffects.hasMemberChanges(effects)) {
 			this.#manifestWatch.membersChanged();
 			this.#router.setMembers(this.#membership.members);
+			this.quotas.setMembers(this.#membership.members, now);
 			this.#atMostOnce.setMembers(this.#membership.members);
 		}
 
@@ -394,6 +409,10 @@
 		return [...this.#membershipEffects.translate(effects, now), ...pulls];
 	}
 
+	#sendQuotas(datagrams: readonly QuotaDatagram[]): NodeEffect[] {
+		return datagrams.map(({to, message}) => ({type: NodeEffectType.SendQuota, to: addressOf(to), message}));
+	}
+
 	#resumeHeldRequests(now: number): NodeEffect[] {
 		return this.#manifest.release(now).flatMap(caller => this.callerRequested(caller, now));
 	}
--- a/packages/node/src/core-task.ts
+++ b/packages/node/src/core-task.ts
@@ -5,7 +5,7 @@
  */
 import {
 	EventRing, NodeCore, NodeEffectType, type AnswerFrame, type AnswerHead, type AnswerPayload, type Announcement, type CallerRequest, type CallFrame, type CancelResult,
-	type GossipMessage, type Holder, type HybridTime, type Member, type NodeDefinition, type NodeEffect, type AtMostOnceMessage, type Revision, type Rumor,
+	type GossipMessage, type Holder, type HybridTime, type Member, type NodeDefinition, type NodeEffect, type AtMostOnceMessage, type QuotaMessage, type Revision, type Rumor,
 	type SendFailure, type UpstreamFailure, type VersionedRecord, type Withdrawal, type WriteResult,
 } from '@laburnumspool/core';
 import type {Logger} from './logs.js';
@@ -30,6 +30,7 @@
 	UpstreamWithdrawn = 'withdrawn',
 	UpstreamSuspected = 'upstream-doubted',
 	GossipArrived = 'gossip-arrived',
+	QuotaArrived = 'quota-arrived',
 	ViewArrived = 'view-arrived',
 	ManifestArrived = 'manifest-arrived',
 	ManifestConfirmed = 'manifest-confirmed',
@@ -63,6 +64,7 @@
 	[CoreMessageType.UpstreamWithdrawn]: {readonly withdrawal: Withdrawal};
 	[CoreMessageType.UpstreamSuspected]: {readonly instance: string};
 	[CoreMessageType.GossipArrived]: {readonly message: GossipMessage; readonly clock: HybridTime};
+	[CoreMessageType.QuotaArrived]: {readonly message: QuotaMessage};
 	[CoreMessageType.ViewArrived]: {readonly members: readonly Member[]; readonly rumors: readonly Rumor[]};
 	[CoreMessageType.ManifestArrived]: {readonly revision: Revision};
 	/** The revision was the newest one in the store at the given time. */
@@ -106,6 +108,7 @@
 	[CoreMessageType.UpstreamWithdrawn]: (core, {withdrawal}, now) => core.upstreamWithdrawn(withdrawal, now),
 	[CoreMessageType.UpstreamSuspected]: (core, {instance}, now) => core.upstreamSuspected(instance, now),
 	[CoreMessageType.GossipArrived]: (core, {message, clock}, now) => core.gossipArrived(message, clock, now),
+	[CoreMessageType.QuotaArrived]: (core, {message}, now) => core.quotaArrived(message, now),
 	[CoreMessageType.ViewArrived]: (core, {members, rumors}, now) => core.viewArrived(members, rumors, now),
 	[CoreMessageType.ManifestArrived]: (core, {revision}, now) => core.manifestArrived(revision, now),
 	[CoreMessageType.ManifestConfirmed]: (core, {number, at}, now) => core.manifestConfirmed({number, ageMilliseconds: now - at}, now),
--- a/packages/node/src/gossip-socket.ts
+++ b/packages/node/src/gossip-socket.ts
@@ -1,13 +1,15 @@
 /**
- * The task that owns the UDP socket for gossip.
+ * The task that owns the UDP socket for gossip and quotas.
  *
  * @module
  */
 import {type Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
 import {performance} from 'node:perf_hooks';
-import {NodeEffectType} from '@laburnumspool/core';
-import {decodeGossip, encodeGossip} from '@laburnumspool/protocol';
+import {NodeEffectType, type Address} from '@laburnumspool/core';
+import {
+	decodeGossip, decodeQuota, encodeGossip, encodeQuota, isQuotaDatagram,
+} from '@laburnumspool/protocol';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import type {Logger} from './logs.js';
 import {ProblemLog} from './problem-log.js';
@@ -51,10 +53,10 @@
 		});
 		core.handle({
 			[NodeEffectType.SendGossip]: ({to, message, clock}) => {
-				const content = encodeGossip(message, clock);
-				this.traffic.sentBytes += content.length;
-				this.traffic.sentMessages += 1;
-				this.#socket.send(content, to.port, to.host, () => undefined);
+				this.#send(encodeGossip(message, clock), to);
+			},
+			[NodeEffectType.SendQuota]: ({to, message}) => {
+				this.#send(encodeQuota(message), to);
 			},
 		});
 	}
@@ -70,10 +72,21 @@
 		this.#socket.close();
 	}
 
+	#send(content: Uint8Array, to: Address): void {
+		this.traffic.sentBytes += content.length;
+		this.traffic.sentMessages += 1;
+		this.#socket.send(content, to.port, to.host, () => undefined);
+	}
+
 	#receive(content: Buffer, source: string): void {
 		this.traffic.receivedBytes += content.length;
 		this.traffic.receivedMessages += 1;
 		try {
+			if (isQuotaDatagram(content)) {
+				this.#core.post({type: CoreMessageType.QuotaArrived, message: decodeQuota(content)});
+				return;
+			}
+
 			const {message, clock} = decodeGossip(content, problem => {
 				this.#problems.report(source, problem);
 			});
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -112,9 +112,16 @@
 		revision: core.manifest?.number ?? 0,
 		...(Number.isFinite(manifestAge) ? {manifest_age_milliseconds: manifestAge} : {}),
 		claims: core.atMostOnce.memory.claims,
+		...quotaValuesOf(core),
 	};
 }
 
+/** None before the first request of an organisation with a quota, or the first report of one. */
+function quotaValuesOf({quotas}: NodeCore): Readonly<Record<string, number>> {
+	const {admitted, refused, owned} = quotas.counts;
+	return admitted + refused + owned === 0 ? {} : {quota_admitted: admitted, quota_refused: refused, quota_parts_owned: owned};
+}
+
 async function openStatsd(server: {readonly host: string; readonly port: number}, node: string): Promise<StatsD> {
 	const {StatsD: Client} = await import('hot-shots');
 	return new Client({
