--- a/packages/core/src/organisations/quota-coordinator.ts
+++ b/packages/core/src/organisations/quota-coordinator.ts
@@ -9,6 +9,7 @@
 } from './messages.js';
 import type {QuotaAccount} from './quota-account.js';
 import type {QuotaDecision, QuotaGate} from './quota-gate.js';
+import {splitBySize} from './datagram-size.js';
 import {QuotaMembers} from './quota-members.js';
 import {QuotaMeter} from './quota-meter.js';
 import {QuotaOwners} from './quota-owners.js';
@@ -19,10 +20,6 @@
 const longestRegularMilliseconds = 5000;
 /** Part of that time for each organisation in use, so that a node's traffic does not grow with their number. */
 const regularMillisecondsPerMeter = 60;
-/** Bounds of a datagram's content: the largest encoded size of one entry without its name, and of all entries. */
-const entryBytes = 48;
-const maximumContentBytes = 900;
-const bytesPerCharacter = 3;
 /** Notices in one step; more are sent in the next ones. */
 const noticesPerStep = 400;
 const advanceIntervalMilliseconds = 100;
@@ -36,8 +33,8 @@
 	readonly random: () => number;
 };
 
-/** Counts since the start, and the number of parts that this node owns. */
-export type QuotaCounts = {readonly admitted: number; readonly refused: number; readonly owned: number};
+/** Counts since the start, the number of parts that this node owns, and the granted tokens that it has not used. */
+export type QuotaCounts = {readonly admitted: number; readonly refused: number; readonly owned: number; readonly stock: number};
 
 type Due = {readonly organisation: string; readonly part: number; readonly meter: QuotaMeter; readonly account: QuotaAccount};
 
@@ -75,7 +72,10 @@
 	}
 
 	get counts(): QuotaCounts {
-		return {admitted: this.#admitted, refused: this.#refused, owned: this.#owners.size};
+		const stock = [...this.#meters.values()].flatMap(({accounts}) => accounts).reduce((sum, account) => sum + account.stock, 0);
+		return {
+			admitted: this.#admitted, refused: this.#refused, owned: this.#owners.size, stock,
+		};
 	}
 
 	/** Sets the quotas of a new manifest. Values of 0 mean that there is no quota. Call it with every manifest. */
@@ -335,19 +335,3 @@
 function keyOf(name: string, incarnation: number): string {
 	return `${name}/${incarnation}`;
 }
-
-function splitBySize<Entry extends {readonly organisation: string}>(entries: readonly Entry[]): Entry[][] {
-	const groups: Entry[][] = [];
-	let bytes = Infinity;
-	entries.map(entry => {
-		const size = entryBytes + (entry.organisation.length * bytesPerCharacter);
-		if (bytes + size > maximumContentBytes) {
-			groups.push([]);
-			bytes = 0;
-		}
-
-		bytes += size;
-		return groups.at(-1)!.push(entry);
-	});
-	return groups;
-}
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -118,8 +118,12 @@
 
 /** None before the first request of an organisation with a quota, or the first report of one. */
 function quotaValuesOf({quotas}: NodeCore): Readonly<Record<string, number>> {
-	const {admitted, refused, owned} = quotas.counts;
-	return admitted + refused + owned === 0 ? {} : {quota_admitted: admitted, quota_refused: refused, quota_parts_owned: owned};
+	const {admitted, refused, owned, stock} = quotas.counts;
+	return admitted + refused + owned === 0
+		? {}
+		: {
+			quota_admitted: admitted, quota_refused: refused, quota_parts_owned: owned, quota_stock: stock,
+		};
 }
 
 async function openStatsd(server: {readonly host: string; readonly port: number}, node: string): Promise<StatsD> {
