--- a/packages/core/src/organisations/quota-gate.ts
+++ b/packages/core/src/organisations/quota-gate.ts
@@ -29,11 +29,3 @@
 	/** Returns the count of an admitted request that has not run anywhere and never will. */
 	giveBack(organisation: string, now: number): void;
 };
-
-/** A gate without quotas. It admits every request. */
-export const unlimitedQuota: QuotaGate = {
-	admit: () => ({admitted: true}),
-	giveBack() {
-		// Nothing was counted.
-	},
-};
