--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -49,7 +49,7 @@
 export * from './organisations/identification.js';
 export * from './organisations/organisation.js';
 export * from './organisations/organisation-index.js';
-export * from './organisations/quota-gate.js';
+export type * from './organisations/quota-gate.js';
 export * from './organisations/manifest-quotas.js';
 export * from './organisations/messages.js';
 export * from './organisations/quota.js';
