--- a/packages/core/src/organisations/identification.ts
+++ b/packages/core/src/organisations/identification.ts
@@ -73,7 +73,7 @@
  * Organisation that the headers of a call name. Entry nodes remove the header from callers' requests and set it themselves.
  *
  * @example
- * organisationOf(['accept', 'a/b', 'x-tenant', 'pulo780'], 'x-tenant'); // 'pulo780'
+ * organisationOf(['accept', 'a/b', 'x-organisation', 'pulo780'], 'x-organisation'); // 'pulo780'
  */
 export function organisationOf(headers: RawHeaders, organisationHeader: string): string | undefined {
 	const position = headers.findIndex((name, index) => index % 2 === 0 && name === organisationHeader);
