--- a/demo/src/tests/client-crowds.test.ts
+++ b/demo/src/tests/client-floods.test.ts
@@ -8,10 +8,10 @@
 import {stringify} from 'yaml';
 import {startSystem, type Instance, type System} from '../system.js';
 import {
-	inChunks, inPieces, readProcess, startCrowd, whole, type CrowdRequest,
-} from './crowd.js';
+	inChunks, inPieces, readProcess, startFlood, whole, type FloodRequest,
+} from './flood.js';
 
-// Guards against callers outside the limits that make a node end, hang or exceed its memory. The crowd and the bounds were
+// Guards against callers outside the limits that make a node end, hang or exceed its memory. The flood and the bounds were
 // fixed on the code without a budget for bodies and are not to be changed.
 const connections = 70;
 const bodyLimitBytes = 8_000_000;
@@ -31,7 +31,7 @@
 
 const requestKind = {importance: 'normal', semantics: 'idempotent'};
 const manifestDocument = {
-	name: 'crowds',
+	name: 'floods',
 	retriesPerAction: 1,
 	services: {
 		lookups: {
@@ -49,9 +49,9 @@
 	},
 };
 
-async function startCrowdSystem(t: Test): Promise<System> {
+async function startFloodSystem(t: Test): Promise<System> {
 	t.setTimeout(testTimeoutMilliseconds);
-	const manifest = join(mkdtempSync(join(tmpdir(), 'laburnumspool-crowds-')), 'manifest.yaml');
+	const manifest = join(mkdtempSync(join(tmpdir(), 'laburnumspool-floods-')), 'manifest.yaml');
 	writeFileSync(manifest, stringify(manifestDocument));
 	const system = await startSystem({
 		services: [
@@ -103,15 +103,15 @@
 	t.ok(descriptors < descriptorBound, `${instance.name} has few descriptors`);
 }
 
-async function checkCrowd(t: Test, crowdRequest: CrowdRequest): Promise<void> {
-	const system = await startCrowdSystem(t);
+async function checkFlood(t: Test, floodRequest: FloodRequest): Promise<void> {
+	const system = await startFloodSystem(t);
 	const entry = system.instances[0]!;
 	t.ok(await isAnsweredInTime(entry.callersAddress, '/lookups/lookup'), 'an ordinary request is answered before');
-	const crowd = startCrowd(entry.callersAddress, '/uploads/files', connections, crowdRequest);
+	const flood = startFlood(entry.callersAddress, '/uploads/files', connections, floodRequest);
 	t.teardown(() => {
-		crowd.close();
+		flood.close();
 	});
-	await crowd.sent;
+	await flood.sent;
 	await delay(holdMilliseconds);
 	system.instances.map(instance => {
 		checkProcess(t, instance);
@@ -121,30 +121,30 @@
 	t.ok(await isAnsweredInTime(entry.callersAddress, '/uploads/ask'), 'an ordinary request to another node is answered');
 }
 
-test('crowd: whole bodies that stop short of their length', async t => {
-	await checkCrowd(t, whole(bodyLimitBytes, sentBytes));
+test('nodes survive a flood of whole bodies that stop short of their length', async t => {
+	await checkFlood(t, whole(bodyLimitBytes, sentBytes));
 });
 
-test('crowd: bodies piece by piece that stop short of their length', async t => {
-	await checkCrowd(t, inPieces(bodyLimitBytes, sentBytes));
+test('nodes survive a flood of bodies piece by piece that stop short of their length', async t => {
+	await checkFlood(t, inPieces(bodyLimitBytes, sentBytes));
 });
 
-test('crowd: bodies over the limit, announced', async t => {
-	await checkCrowd(t, inPieces(bodyOverLimitBytes, bodyOverLimitBytes - missingBytes));
+test('nodes survive a flood of bodies over the limit, announced', async t => {
+	await checkFlood(t, inPieces(bodyOverLimitBytes, bodyOverLimitBytes - missingBytes));
 });
 
-test('crowd: bodies over the limit, sent without a length', async t => {
-	await checkCrowd(t, inChunks(largeChunkBytes, bodyOverLimitBytes));
+test('nodes survive a flood of bodies over the limit, sent without a length', async t => {
+	await checkFlood(t, inChunks(largeChunkBytes, bodyOverLimitBytes));
 });
 
-test('crowd: large chunks without an end', async t => {
-	await checkCrowd(t, inChunks(largeChunkBytes, sentBytes));
+test('nodes survive a flood of large chunks without an end', async t => {
+	await checkFlood(t, inChunks(largeChunkBytes, sentBytes));
 });
 
-test('crowd: one-byte chunks without an end', async t => {
-	await checkCrowd(t, inChunks(1, smallChunkBodyBytes));
+test('nodes survive a flood of one-byte chunks without an end', async t => {
+	await checkFlood(t, inChunks(1, smallChunkBodyBytes));
 });
 
-test('crowd: complete bodies to a slow upstream of another node', async t => {
-	await checkCrowd(t, whole(bodyLimitBytes, bodyLimitBytes));
+test('nodes survive a flood of complete bodies to a slow upstream of another node', async t => {
+	await checkFlood(t, whole(bodyLimitBytes, bodyLimitBytes));
 });
--- a/demo/src/tests/crowd.ts
+++ b/demo/src/tests/flood.ts
@@ -1,5 +1,5 @@
 /**
- * Crowds of callers on plain sockets that send large bodies, and readings of a node's process.
+ * Floods of callers on plain sockets that send large bodies, and readings of a node's process.
  *
  * @module
  */
@@ -13,8 +13,8 @@
 /** Time after which a member that the node neither reads nor closes stops sending. */
 const sendingMilliseconds = 10_000;
 
-/** What each connection of a crowd sends. */
-export type CrowdRequest = {
+/** What each connection of a flood sends. */
+export type FloodRequest = {
 	/** Value of the content length; without it the body is sent in chunks. */
 	readonly announcedBytes?: number;
 	/** Bytes on the wire after the head. */
@@ -26,37 +26,37 @@
 };
 
 /** Body in one write. */
-export const whole = (announcedBytes: number, sentBytes: number): CrowdRequest => ({
+export const whole = (announcedBytes: number, sentBytes: number): FloodRequest => ({
 	announcedBytes, sentBytes, pattern: Buffer.alloc(sentBytes, 'a'), writeBytes: sentBytes,
 });
 
 /** Body in writes of 64 KiB. */
-export const inPieces = (announcedBytes: number, sentBytes: number): CrowdRequest => ({
+export const inPieces = (announcedBytes: number, sentBytes: number): FloodRequest => ({
 	announcedBytes, sentBytes, pattern: Buffer.alloc(pieceBytes, 'a'), writeBytes: pieceBytes,
 });
 
 /** Body without a length, in chunks of the given size and without the last chunk. */
-export const inChunks = (chunkBytes: number, bodyBytes: number): CrowdRequest => {
+export const inChunks = (chunkBytes: number, bodyBytes: number): FloodRequest => {
 	const chunk = Buffer.from(`${chunkBytes.toString(16)}\r\n${'a'.repeat(chunkBytes)}\r\n`);
 	const pattern = Buffer.alloc(chunk.length * Math.ceil(pieceBytes / chunk.length), chunk);
 	return {sentBytes: Math.floor(bodyBytes / chunkBytes) * chunk.length, pattern, writeBytes: pattern.length};
 };
 
-/** A crowd, whose connections stay open until it is closed. */
-export type Crowd = {
+/** A flood, whose connections stay open until it is closed. */
+export type Flood = {
 	/** Resolves when each connection has sent its bytes, is closed, or is not read for 10 s. */
 	readonly sent: Promise<unknown>;
 	readonly close: () => void;
 };
 
 /**
- * Opens the connections of a crowd and starts sending.
+ * Opens the connections of a flood and starts sending.
  *
  * @example
- * const crowd = startCrowd('127.0.0.1:7001', '/uploads/files', 70, whole(8_000_000, 7_999_990));
- * await crowd.sent;
+ * const flood = startFlood('127.0.0.1:7001', '/uploads/files', 70, whole(8_000_000, 7_999_990));
+ * await flood.sent;
  */
-export function startCrowd(address: string, path: string, connections: number, request: CrowdRequest): Crowd {
+export function startFlood(address: string, path: string, connections: number, request: FloodRequest): Flood {
 	const [host, port] = address.split(':');
 	const framing = request.announcedBytes === undefined ? 'transfer-encoding: chunked' : `content-length: ${request.announcedBytes}`;
 	const head = `POST ${path} HTTP/1.1\r\nhost: h\r\n${framing}\r\n\r\n`;
@@ -75,7 +75,7 @@
 	};
 }
 
-async function sendUntilClosed(socket: Socket, request: CrowdRequest): Promise<void> {
+async function sendUntilClosed(socket: Socket, request: FloodRequest): Promise<void> {
 	const abort = new AbortController();
 	const timer = setTimeout(() => {
 		abort.abort();
@@ -92,7 +92,7 @@
 	clearTimeout(timer);
 }
 
-async function sendFrom(socket: Socket, request: CrowdRequest, firstByte: number, signal: AbortSignal): Promise<void> {
+async function sendFrom(socket: Socket, request: FloodRequest, firstByte: number, signal: AbortSignal): Promise<void> {
 	const {sentBytes, pattern, writeBytes} = request;
 	for (let position = firstByte; position < sentBytes; position += writeBytes) {
 		signal.throwIfAborted();
--- a/packages/core/src/admission/machine-speed.ts
+++ b/packages/core/src/admission/machine-speed.ts
@@ -19,7 +19,7 @@
 /** Share of the evidence that remains after each further call. */
 const evidenceRetention = 0.995;
 
-/** Evidence with which reports are believed at the start, as the sum of the squared excesses of four calls at 2.5 times the usual time. */
+/** Initial evidence in favour of reports, as the sum of the squared excesses of four calls at 2.5 times the usual time. */
 const initialEvidence = 9;
 
 /**
--- a/packages/core/src/node/node-definition.ts
+++ b/packages/core/src/node/node-definition.ts
@@ -27,7 +27,7 @@
 	readonly manifestAgeMilliseconds?: number;
 	/** Header, in lower case, that names the organisation of a request to the upstreams; without it they learn no organisation. */
 	readonly organisationHeader?: string | undefined;
-	/** Quotas of the organisations; without it there are none. */
+	/** Replaces the quotas of the manifest, for hosts that enforce quotas of their own; by default those of the manifest apply. */
 	readonly quotaGate?: QuotaGate;
 	readonly admissionMechanisms?: AdmissionMechanisms;
 	readonly entryMechanisms?: EntryMechanisms;
--- a/packages/core/src/node/request-importance.ts
+++ b/packages/core/src/node/request-importance.ts
@@ -18,7 +18,7 @@
 
 /**
  * Importance of the route or request kind that matches; `normal` when none does. Nested calls, whose importance is that of
- * their parent, are not recognised here.
+ * their parent, are not recognised here, and the rank of the organisation is not considered, since the key is checked later.
  *
  * @example
  * importanceOf({method: 'POST', host: '', service: 'deposits', target: '/deposits'}, manifest, undefined); // Importance.Critical
--- a/packages/core/src/organisations/datagram-size.ts
+++ b/packages/core/src/organisations/datagram-size.ts
@@ -8,6 +8,7 @@
 const entryBytes = 48;
 const maximumContentBytes = 900;
 const bytesPerCharacter = 3;
+
 /**
  * Divides entries so that those of one group fit into a datagram.
  *
--- a/packages/core/src/tests/quota-network.ts
+++ b/packages/core/src/tests/quota-network.ts
@@ -13,14 +13,14 @@
 const tickMilliseconds = 50;
 const viewMilliseconds = 200;
 
-/** Faults of the network, and mistakes that the checks must find. */
+/** Faults of the network, and injected faults of nodes that the checks must detect. */
 export type NetworkDefinition = {
 	readonly size: number;
 	readonly seed: number;
 	readonly loss?: number;
 	readonly doubled?: number;
 	readonly latencyMilliseconds?: number;
-	/** Replaces the gate of a node, to plant a mistake. */
+	/** Replaces the gate of a node, to inject a fault. */
 	readonly create?: (definition: ConstructorParameters<typeof QuotaCoordinator>[0], previous: QuotaCoordinator | undefined) => QuotaCoordinator;
 };
 
--- a/packages/node/src/held-body.ts
+++ b/packages/node/src/held-body.ts
@@ -33,7 +33,7 @@
  * that grows in place. Pages that were not written yet take no memory, so only received bytes are reserved for it.
  *
  * The memory of a body above 64 KiB that is not used is freed at once: before the garbage collector has freed it, the
- * budget would admit other bodies, and a crowd of refused bodies took 200 MB beside the budget.
+ * budget would admit other bodies, and a flood of refused bodies took 200 MB beside the budget.
  *
  * @example
  * const body = new HeldBody({reservation, announcedBytes: 12, maximumBytes: 1024});
--- a/packages/node/src/tests/work-reports.test.ts
+++ b/packages/node/src/tests/work-reports.test.ts
@@ -2,9 +2,7 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import {createConnection, type AddressInfo} from 'node:net';
-import {
-	AnnouncedState, Importance, priorityOf, Semantics, type WorkReport,
-} from '@laburnumspool/core';
+import {AnnouncedState, type WorkReport} from '@laburnumspool/core';
 import {
 	decodeAnswer, encodeCall, encodeFrameHeader, FrameReader, FrameType, StringTableDecoder, StringTableEncoder,
 } from '@laburnumspool/protocol';
@@ -13,6 +11,7 @@
 import {CoreMessageType} from '../core-task.js';
 import {checkSettings, defaultDeployment, startDaemon} from '../index.js';
 import {createLookManifest, doNothing, silentLog} from './fixtures.js';
+import {createCall} from './link-nodes.js';
 
 const maximumFrameBytes = 1024 * 1024;
 
@@ -42,26 +41,7 @@
 	link.write(`GET /calls HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: laburnumspool-calls\r\n${upgradeHeader}\r\n`);
 	await once(link, 'data');
 	const call = encodeCall({
-		frame: {
-			callId: 'n.1.1',
-			action: {actionId: 'a'.repeat(32), vendorTraceState: []},
-			requestId: '',
-			service: 'shop',
-			kind: 'look',
-			semantics: Semantics.Idempotent,
-			answerBytesLimit: 1000,
-			importance: Importance.Normal,
-			priority: priorityOf(Importance.Normal, 0),
-			timeLeftMilliseconds: 1000,
-			retries: 0,
-			key: undefined,
-			epoch: 0,
-			lastResort: false,
-			revision: 1,
-			request: {
-				method: 'GET', target: '/', headers: [], body: Buffer.alloc(0), digest: '',
-			},
-		}, clock: 1,
+		frame: createCall('n.1.1', 0), clock: 1,
 	}, new StringTableEncoder());
 	link.write(Buffer.concat([encodeFrameHeader(FrameType.Call, call.length), call]));
 	const reader = new FrameReader(maximumFrameBytes);
