Divide the room of an upstream fairly between organisations

Within one importance, calls were ordered by deadline and refused by cohort, so an organisation at ten times its usual took most of the room of the others.

The queue now orders organisations by start-time fair queueing over expected work, with the deadline among those that are equal, and the overload level is divided between organisations by max-min fairness. Calls without an organisation are decided as before and leave no state.

--- a/benchmarks/src/policy.ts
+++ b/benchmarks/src/policy.ts
@@ -67,7 +67,7 @@
 
 const unlimitedSlots = 10_000;
 const noAdmissionMechanisms: AdmissionMechanisms = {
-	adaptiveLimit: false, importanceOrder: false, overloadLevel: false, doomedCheck: false, waitBound: false,
+	adaptiveLimit: false, importanceOrder: false, overloadLevel: false, doomedCheck: false, waitBound: false, fairShares: false,
 };
 const noEntryMechanisms: EntryMechanisms = {retryQuota: false, retryBudget: false};
 
--- a/packages/core/src/admission/admission-controller.ts
+++ b/packages/core/src/admission/admission-controller.ts
@@ -7,6 +7,9 @@
 import {ErrorKind} from '../errors.js';
 import {Importance, rankOf} from '../importance.js';
 import {AdaptiveLimit} from './adaptive-limit.js';
+import {allAdmissionMechanisms, type AdmissionLoad, type AdmissionMechanisms} from './admission-mechanisms.js';
+import {FairOrder} from './fair-order.js';
+import {FairShares} from './fair-shares.js';
 import {OverloadLevel} from './overload-level.js';
 import {SeenCalls} from './seen-calls.js';
 import {ServiceTimes} from './service-time.js';
@@ -14,7 +17,7 @@
 import {
 	AdmissionEffectType, CancelResult, DispatchOutcome, type AdmissionEffect, type Work,
 } from './work.js';
-import {WorkQueue} from './work-queue.js';
+import {WorkQueue, type Taken} from './work-queue.js';
 
 const queueEntriesPerSlot = 4;
 const queueBaseEntries = 32;
@@ -26,32 +29,12 @@
 
 /** A call whose expected wait exceeds this share of the time until its latest start is refused. */
 const maximumWaitShare = 0.5;
+
+/** The starts of organisations count as equal within the work of this many calls, so that the deadline orders calls of organisations that are near their shares. */
+const toleranceCalls = 2;
 const criticalRank = rankOf(Importance.Critical);
 
-/** Switches for the parts of admission control, to measure the effect of each one. */
-export type AdmissionMechanisms = {
-	readonly adaptiveLimit: boolean;
-	readonly importanceOrder: boolean;
-	readonly overloadLevel: boolean;
-	readonly doomedCheck: boolean;
-	readonly waitBound: boolean;
-};
-
-export const allAdmissionMechanisms: AdmissionMechanisms = {
-	adaptiveLimit: true,
-	importanceOrder: true,
-	overloadLevel: true,
-	doomedCheck: true,
-	waitBound: true,
-};
-
-/** Load of the upstream, reported with each answer. */
-export type AdmissionLoad = {
-	/** Free slots for new calls. Negative if calls wait, or if more calls run than the limit now allows. */
-	readonly headroom: number;
-	/** Lowest priority that is admitted. */
-	readonly level: number;
-};
+type Refusal = {readonly reason: ErrorKind; /** Whether the share of the organisation decided. */ readonly isByShare?: boolean};
 
 /**
  * Admission control of one upstream. All calls that the node dispatches pass through it, so its count of calls in
@@ -64,12 +47,20 @@
  */
 export class AdmissionController {
 	readonly limit: AdaptiveLimit;
+	/** Shares of organisations; set their weights with each manifest. */
+	readonly shares = new FairShares();
 	readonly #mechanisms: AdmissionMechanisms;
 	readonly #level = new OverloadLevel();
 	readonly #queue = new WorkQueue();
 	readonly #running = new RunningWork();
 	readonly #tombstones = new SeenCalls(tombstoneRetentionMilliseconds, maximumTombstones);
 	readonly #serviceTimes = new ServiceTimes();
+	readonly #order = new FairOrder({
+		shares: this.shares,
+		workOf: (work, now) => this.#expectedWork(work, now),
+		toleranceMilliseconds: () => toleranceCalls * this.#meanWork,
+	});
+
 	#isAccepting = true;
 
 	constructor(slots: number, mechanisms: AdmissionMechanisms = allAdmissionMechanisms) {
@@ -78,7 +69,12 @@
 	}
 
 	get load(): AdmissionLoad {
-		return {headroom: this.capacity - this.#running.size - this.#queue.length, level: this.#level.value};
+		return {headroom: this.capacity - this.#running.size - this.#queue.length, level: this.shares.announcedLevel(this.#level.value)};
+	}
+
+	/** Overload level: the lowest priority that is admitted, before it is divided by the shares of organisations. */
+	get level(): number {
+		return this.#level.value;
 	}
 
 	get inFlight(): number {
@@ -112,11 +108,11 @@
 	submit(work: Work, now: number): AdmissionEffect[] {
 		const refusal = this.#refusalOnArrival(work, now);
 		if (refusal !== undefined) {
-			return [{type: AdmissionEffectType.Refuse, work, reason: refusal}];
+			return [this.#toRefusal(work, refusal.reason, refusal.isByShare === true, now)];
 		}
 
 		this.#queue.add(work);
-		return [...this.#dispatchWaiting(now), ...this.#displaceLast()];
+		return [...this.#dispatchWaiting(now), ...this.#displaceLast(now)];
 	}
 
 	/**
@@ -167,31 +163,46 @@
 	/** Handles deadlines, waits that are too long and the overload level. Call it every few milliseconds while calls are open. */
 	advance(now: number): AdmissionEffect[] {
 		this.#level.advance(now);
+		this.shares.advance(this.#level.value, now);
 		this.#tombstones.advance(now);
 		const expired = this.#refuseExpired(now);
 		const overdue = this.#running.overdueEntries(now).flatMap(entry => this.#cancelRunning(entry.work.callId, ErrorKind.TimedOut));
 		return [...expired, ...overdue, ...this.#dispatchWaiting(now)];
 	}
 
-	#refusalOnArrival(work: Work, now: number): ErrorKind | undefined {
+	#refusalOnArrival(work: Work, now: number): Refusal | undefined {
 		if (this.#tombstones.has(work.callId)) {
-			return ErrorKind.Cancelled;
+			return {reason: ErrorKind.Cancelled};
 		}
 
 		if (!this.#isAccepting) {
-			return ErrorKind.Draining;
+			return {reason: ErrorKind.Draining};
 		}
 
 		this.#level.recordArrival(work.priority);
-		if (work.deadline <= now || this.#willMissDeadline(work, now)) {
-			return ErrorKind.InsufficientTime;
+		if (this.#mechanisms.fairShares !== false && this.shares.concerns(work)) {
+			this.shares.arrived(work, this.#expectedWork(work, now), now);
 		}
 
-		if (this.#isBelowLevel(work) || this.#wouldWaitTooLong(work, now)) {
-			return ErrorKind.Overloaded;
+		if (work.deadline <= now || this.#willMissDeadline(work, now)) {
+			return {reason: ErrorKind.InsufficientTime};
 		}
 
-		return this.#queue.length >= this.#queueLimit && !this.#canDisplace(work) ? ErrorKind.Overloaded : undefined;
+		return this.#refusalByLevel(work, now) ?? this.#refusalByWait(work, now) ?? this.#refusalByLength(work, now);
+	}
+
+	/** Expected work of a call in milliseconds of a slot. A kind without samples counts as the mean of all. */
+	#expectedWork({kind}: Work, now: number): number {
+		return this.#serviceTimes.expected(kind, now) || this.#meanWork;
+	}
+
+	get #meanWork(): number {
+		return this.#serviceTimes.overallMean || 1;
+	}
+
+	/** The order by shares; undefined when no organisation calls, so that the deadline alone orders the calls of one importance. */
+	get #fairOrder(): FairOrder | undefined {
+		return this.#mechanisms.importanceOrder && this.shares.isActive ? this.#order : undefined;
 	}
 
 	get #queueLimit(): number {
@@ -207,8 +218,11 @@
 		return work.deadline - this.#serviceTimes.expected(work.kind, now);
 	}
 
-	#isBelowLevel(work: Work): boolean {
-		return this.#mechanisms.overloadLevel && work.priority < this.#level.value && !this.#hasGuaranteedCapacity(work);
+	#refusalByLevel(work: Work, now: number): Refusal | undefined {
+		const level = this.#mechanisms.overloadLevel ? this.shares.levelOf(work, this.#level.value, now) : 0;
+		return work.priority < level && !this.#hasGuaranteedCapacity(work)
+			? {reason: ErrorKind.Overloaded, isByShare: work.priority >= this.#level.value}
+			: undefined;
 	}
 
 	#hasGuaranteedCapacity(work: Work): boolean {
@@ -216,32 +230,44 @@
 	}
 
 	/** A call with a long expected wait is refused at once, unless no other node can take it. */
-	#wouldWaitTooLong(work: Work, now: number): boolean {
+	#refusalByWait(work: Work, now: number): Refusal | undefined {
 		if (!this.#mechanisms.waitBound || work.lastResort || this.#running.size < this.capacity || this.#hasGuaranteedCapacity(work)) {
-			return false;
+			return undefined;
 		}
 
-		const slack = this.#latestStart(work, now) - now;
-		if (this.#expectedWait(work) > slack * maximumWaitShare) {
-			this.#level.recordOutcome(false, work.arrivedAt);
-			return true;
+		const longestWait = (this.#latestStart(work, now) - now) * maximumWaitShare;
+		const order = this.#fairOrder;
+		if (this.#expectedWait(work, order, now) <= longestWait) {
+			return undefined;
 		}
 
-		return false;
+		this.#level.recordOutcome(false, work.arrivedAt);
+		return {reason: ErrorKind.Overloaded, isByShare: order !== undefined && this.#expectedWait(work, undefined, now) <= longestWait};
+	}
+
+	#expectedWait(work: Work, order: FairOrder | undefined, now: number): number {
+		return (this.#queue.countAhead(work, order, now) + 1) * this.#serviceTimes.overallMean / this.capacity;
 	}
 
-	#expectedWait(work: Work): number {
-		return (this.#queue.countAhead(work) + 1) * this.#serviceTimes.overallMean / this.capacity;
+	#refusalByLength(work: Work, now: number): Refusal | undefined {
+		return this.#queue.length >= this.#queueLimit && !this.#canDisplace(work, now) ? {reason: ErrorKind.Overloaded} : undefined;
 	}
 
-	#canDisplace(work: Work): boolean {
-		const {last} = this.#queue;
-		return last !== undefined && rankOf(last.importance) < rankOf(work.importance);
+	#canDisplace(work: Work, now: number): boolean {
+		const last = this.#queue.last(undefined, now);
+		return last !== undefined && (rankOf(last.importance) < rankOf(work.importance) || (this.#fairOrder?.isBeforeLast(this.#queue.entries, work, now) ?? false));
 	}
 
 	/** Refuses the last waiting call when the queue is longer than its limit. */
-	#displaceLast(): AdmissionEffect[] {
-		return this.#queue.length > this.#queueLimit && this.#queue.last !== undefined ? this.#refuseQueued([this.#queue.last], ErrorKind.Overloaded) : [];
+	#displaceLast(now: number): AdmissionEffect[] {
+		const last = this.#queue.length > this.#queueLimit ? this.#queue.last(this.#fairOrder, now) : undefined;
+		if (last === undefined) {
+			return [];
+		}
+
+		const isByShare = last !== this.#queue.last(undefined, now);
+		this.#queue.remove(last.callId);
+		return [this.#toRefusal(last, ErrorKind.Overloaded, isByShare, now)];
 	}
 
 	#cancelRunning(callId: string, reason: ErrorKind): AdmissionEffect[] {
@@ -260,23 +286,30 @@
 		return this.#toRefusals(expired, ErrorKind.InsufficientTime);
 	}
 
-	#refuseQueued(works: readonly Work[], reason: ErrorKind): AdmissionEffect[] {
-		works.map(work => this.#queue.remove(work.callId));
-		return this.#toRefusals(works, reason);
-	}
-
 	#toRefusals(works: readonly Work[], reason: ErrorKind): AdmissionEffect[] {
 		return works.map(work => ({type: AdmissionEffectType.Refuse, work, reason}));
 	}
 
+	/** @param isByShare - whether the call would not have been refused without the share of its organisation */
+	#toRefusal(work: Work, reason: ErrorKind, isByShare: boolean, now: number): AdmissionEffect {
+		return {
+			type: AdmissionEffectType.Refuse, work, reason, ...(isByShare ? {share: this.shares.recordRefusal(work, now)} : {}),
+		};
+	}
+
 	#dispatchWaiting(now: number): AdmissionEffect[] {
 		const effects: AdmissionEffect[] = [];
 		while (this.#running.size < this.capacity) {
-			const work = this.#takeNext();
-			if (work === undefined) {
+			const taken = this.#takeNext(now);
+			if (taken === undefined) {
 				break;
 			}
 
+			const {work, leastStart} = taken;
+			if (leastStart !== undefined) {
+				this.shares.charge(work, this.#expectedWork(work, now), leastStart, now);
+			}
+
 			this.#recordWait(work, now);
 			this.#running.add(work, now);
 			effects.push({type: AdmissionEffectType.Dispatch, work});
@@ -289,18 +322,19 @@
 	 * Takes the first waiting call that is critical or of a kind below its guaranteed share. Without one, takes the first
 	 * call of the queue. With the importance order switched off, takes the call that arrived first.
 	 */
-	#takeNext(): Work | undefined {
+	#takeNext(now: number): Taken | undefined {
 		if (!this.#mechanisms.importanceOrder) {
 			return this.#takeOldest();
 		}
 
 		const isCritical = (work: Work): boolean => rankOf(work.importance) === criticalRank;
-		return this.#queue.takeFirst(work => isCritical(work) || this.#hasGuaranteedCapacity(work)) ?? this.#queue.takeFirst();
+		const order = this.#fairOrder;
+		return this.#queue.takeFirst(work => isCritical(work) || this.#hasGuaranteedCapacity(work), order, now) ?? this.#queue.takeFirst(() => true, order, now);
 	}
 
-	#takeOldest(): Work | undefined {
+	#takeOldest(): Taken | undefined {
 		const oldest = this.#queue.entries.reduce<Work | undefined>((best, work) => best === undefined || work.arrivedAt < best.arrivedAt ? work : best, undefined);
-		return oldest === undefined ? undefined : this.#queue.remove(oldest.callId);
+		return oldest === undefined ? undefined : {work: this.#queue.remove(oldest.callId)!, leastStart: undefined};
 	}
 
 	/**
--- a/packages/core/src/admission/work.ts
+++ b/packages/core/src/admission/work.ts
@@ -5,6 +5,7 @@
  */
 import type {ErrorKind} from '../errors.js';
 import type {Importance} from '../importance.js';
+import type {ShareUse} from './fair-shares.js';
 
 /** One call submitted for admission. */
 export type Work = {
@@ -21,6 +22,8 @@
 	readonly guaranteedShare: number;
 	/** Whether all other candidates refused the call, so that waiting here is better than a refusal. */
 	readonly lastResort: boolean;
+	/** Organisation on whose behalf the call is made; absent where the manifest has none. */
+	readonly organisation?: string | undefined;
 };
 
 /** How a dispatch to the upstream ended. */
@@ -40,7 +43,7 @@
 /** Effect that the caller of the admission controller carries out. */
 export type AdmissionEffect
 	= | {readonly type: AdmissionEffectType.Dispatch; readonly work: Work}
-		| {readonly type: AdmissionEffectType.Refuse; readonly work: Work; readonly reason: ErrorKind}
+		| {readonly type: AdmissionEffectType.Refuse; readonly work: Work; readonly reason: ErrorKind; /** Present when the share of the organisation decided. */ readonly share?: ShareUse}
 		| {readonly type: AdmissionEffectType.CancelDispatch; readonly work: Work; readonly reason: ErrorKind};
 
 /** Result of a request to cancel a call. */
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -5,7 +5,7 @@
  */
 import type {ErrorKind, Outcome} from './errors.js';
 import type {Importance} from './importance.js';
-import type {AdmissionLoad} from './admission/admission-controller.js';
+import type {AdmissionLoad} from './admission/admission-mechanisms.js';
 import type {WorkReport} from './admission/work-left.js';
 import type {Semantics} from './manifest/request-policy.js';
 
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import {allAdmissionMechanisms, AdmissionController} from '../admission/admission-controller.js';
+import {AdmissionController} from '../admission/admission-controller.js';
+import {allAdmissionMechanisms} from '../admission/admission-mechanisms.js';
 import type {CancelResult} from '../admission/work.js';
 import type {SendFailure} from '../entry/entry-definition.js';
 import {ErrorKind, Outcome} from '../errors.js';
--- a/packages/core/src/node/node-definition.ts
+++ b/packages/core/src/node/node-definition.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type {AdmissionMechanisms} from '../admission/admission-controller.js';
+import type {AdmissionMechanisms} from '../admission/admission-mechanisms.js';
 import type {EntryMechanisms} from '../entry/entry-definition.js';
 import type {Member} from '../membership/member.js';
 import type {MembershipTimes} from '../membership/membership-definition.js';
