Accept a weight for each organisation in manifests

Shares of the room of an upstream are equal unless the operators state otherwise, and manifests had no field for it. An optional weight, a finite number above 0, is read, checked and part of the schema; an organisation with an invalid weight is left out alone, as for the other fields.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,6 +57,7 @@
 export * from './organisations/organisation-index.js';
 export type * from './organisations/quota-gate.js';
 export * from './organisations/manifest-quotas.js';
+export * from './organisations/manifest-weights.js';
 export * from './organisations/messages.js';
 export * from './organisations/quota.js';
 export * from './organisations/quota-coordinator.js';
--- a/packages/core/src/organisations/organisation.ts
+++ b/packages/core/src/organisations/organisation.ts
@@ -24,6 +24,7 @@
 const nameMessage = `Expected a name of 1 to ${maximumNameCharacters} visible ASCII characters`;
 const rankMessage = 'Expected a whole number of at least 0';
 const rateMessage = 'Expected a number of at least 0';
+const weightMessage = 'Expected a number above 0';
 
 const keySchema = valibot.pipe(valibot.string(keyMessage), valibot.regex(keyPattern, keyMessage));
 const rateSchema = valibot.optional(valibot.pipe(valibot.number(rateMessage), valibot.finite(rateMessage), valibot.minValue(0, rateMessage)), 0);
@@ -41,6 +42,8 @@
 	requestsPerSecond: rateSchema,
 	/** Requests above the rate that may come at once. */
 	burst: rateSchema,
+	/** Share of the room of an upstream, in proportion to the weights of the other organisations; 1 by default. */
+	weight: valibot.optional(valibot.pipe(valibot.number(weightMessage), valibot.finite(weightMessage), valibot.gtValue(0, weightMessage))),
 }, 'Expected an organisation with keys');
 
 /** Schema of the organisations of a manifest, by name. */
@@ -61,6 +64,8 @@
 	readonly requestsPerSecond: number;
 	/** Requests above the rate that may come at once. */
 	readonly burst: number;
+	/** Weight of its share where there is too little room, above 0; 1 where it is absent. */
+	readonly weight?: number;
 };
 
 /** Organisations of a document, and the issues of those that were left out. */
@@ -106,10 +111,10 @@
 		return {issues: [...nameResult.issues ?? [], ...result.issues ?? []].map(issue => toManifestIssue(issue, path))};
 	}
 
-	const {keys, rank, requestsPerSecond, burst} = result.output;
+	const {keys, rank, requestsPerSecond, burst, weight} = result.output;
 	return {
 		organisation: {
-			name, keys, rank, requestsPerSecond, burst,
+			name, keys, rank, requestsPerSecond, burst, ...(weight === undefined ? {} : {weight}),
 		}, issues: [],
 	};
 }
