Charge calls to the organisation in their header, and log decisions by share

The admission controller divides room between organisations, but serving nodes did not pass them on. Serving nodes read the organisation from the request header, also of nested calls, while the active manifest has organisations. The cause of a refusal states use and share where the share decided.

--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -7,6 +7,7 @@
 import {CallIdGenerator} from '../action/call-ids.js';
 import {formatTraceContext} from '../action/trace-context.js';
 import type {AdmissionController} from '../admission/admission-controller.js';
+import type {ShareUse} from '../admission/fair-shares.js';
 import {UpstreamWork} from '../admission/work-left.js';
 import type {CancelResult, Work} from '../admission/work.js';
 import {EntryCoordinator} from '../entry/entry-coordinator.js';
@@ -22,7 +23,7 @@
 import {organisationOf} from '../organisations/identification.js';
 import type {QuotaGate} from '../organisations/quota-gate.js';
 import type {
-	AnswerFrame, AnswerHead, CallerAnswer, CallError, CallFrame,
+	AnswerFrame, AnswerHead, CallerAnswer, CallError, CallFrame, RawHeaders,
 } from '../messages.js';
 import type {AtMostOnceCoordinator} from '../at-most-once/at-most-once-coordinator.js';
 import type {RangeDirectory} from '../at-most-once/range-directory.js';
@@ -54,6 +55,8 @@
 	readonly atMostOnce: AtMostOnceCoordinator;
 	/** Policies by `SERVICE/KIND`. */
 	readonly policies: ReadonlyMap<string, RequestPolicy>;
+	/** Whether the active manifest has organisations. */
+	readonly hasOrganisations: () => boolean;
 	readonly clock: HybridClock;
 	readonly quotaGate: QuotaGate;
 	readonly atMostOnceEffects: AtMostOnceEffects;
@@ -104,7 +107,7 @@
 		[ServingEffectType.AnswerStarted]: ({callId, head}, now) => this.#startAnswer(callId, head, now),
 		[ServingEffectType.AtMostOnce]: ({effect}) => this.#dependencies.atMostOnceEffects.translate(effect),
 		[ServingEffectType.Admitted]: ({frame}) => [this.#admittedEvent(frame)],
-		[ServingEffectType.Refused]: ({frame, work, reason}, now) => [this.#refusedEvent(frame, reason, this.#refusalCause(work, now))],
+		[ServingEffectType.Refused]: ({frame, work, reason, share}, now) => [this.#refusedEvent(frame, reason, this.#refusalCause(work, share, now))],
 	};
 
 	constructor(dependencies: CallFlowDependencies) {
@@ -193,6 +196,7 @@
 			atMostOnce: this.#dependencies.atMostOnce,
 			service: () => this.#dependencies.membership.own.service,
 			policyOf: (service, kind) => this.#dependencies.policies.get(`${service}/${kind}`),
+			organisationOf: headers => this.#dependencies.hasOrganisations() ? this.#organisationOf(headers) : undefined,
 			revision: () => this.#dependencies.adoption.number,
 			isNotReady: () => this.#dependencies.membership.own.state !== UpstreamState.Ready,
 			downstreamLevel: (kind, now) => this.#downstreamLevel(kind, now),
@@ -285,16 +289,21 @@
 	}
 
 	#refusedEvent({action: {actionId}, requestId, service, kind, request}: CallFrame, detail: string, cause: string): NodeEffect {
-		const {organisationHeader} = this.#dependencies.node;
-		const organisation = organisationHeader === undefined ? undefined : organisationOf(request.headers, organisationHeader);
+		const organisation = this.#organisationOf(request.headers);
 		return this.#dependencies.makeEvent({
 			type: EventType.Refused, action: actionId, request: requestId, service, kind, organisation, detail, cause,
 		});
 	}
 
-	#refusalCause({arrivedAt, deadline, priority}: Work, now: number): string {
-		const {inFlight, waiting, capacity, load: {level}} = this.#dependencies.admission;
-		return `after ${Math.round(now - arrivedAt)} ms with ${Math.round(deadline - now)} ms left: ${inFlight} of ${capacity} run, ${waiting} wait, priority ${priority}, level ${level}`;
+	#organisationOf(headers: RawHeaders): string | undefined {
+		const {organisationHeader} = this.#dependencies.node;
+		return organisationHeader === undefined ? undefined : organisationOf(headers, organisationHeader);
+	}
+
+	#refusalCause({arrivedAt, deadline, priority}: Work, share: ShareUse | undefined, now: number): string {
+		const {inFlight, waiting, capacity, level} = this.#dependencies.admission;
+		const shareCause = share === undefined ? '' : `, share of the organisation decided: uses ${Math.round(share.useMilliseconds)} ms/s, share ${Math.round(share.shareMilliseconds)} ms/s`;
+		return `after ${Math.round(now - arrivedAt)} ms with ${Math.round(deadline - now)} ms left: ${inFlight} of ${capacity} run, ${waiting} wait, priority ${priority}, level ${level}${shareCause}`;
 	}
 
 	/** Highest overload level among the nested calls of a request kind, both those declared in the manifest and those observed. */
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -26,6 +26,7 @@
 import {RangeDirectory} from '../at-most-once/range-directory.js';
 import {holderOf, type Holder, type VersionedRecord} from '../at-most-once/record.js';
 import {quotasOf} from '../organisations/manifest-quotas.js';
+import {weightsOf} from '../organisations/manifest-weights.js';
 import type {QuotaMessage} from '../organisations/messages.js';
 import {QuotaCoordinator, type QuotaDatagram} from '../organisations/quota-coordinator.js';
 import {Router} from '../routing/router.js';
@@ -109,6 +110,7 @@
 			admission: this.#admission,
 			atMostOnce: this.#atMostOnce,
 			policies: this.#manifest.policies,
+			hasOrganisations: () => this.#manifest.organisations !== undefined,
 			clock: this.#clock,
 			quotaGate: definition.quotaGate ?? this.quotas,
 			atMostOnceEffects: new AtMostOnceEffects({own: holderOf(definition.own), membership: this.#membership, makeEvent}),
@@ -304,6 +306,7 @@
 		this.#manifestWatch.adopted(now);
 		this.quotas.setMembers(this.#membership.members, now);
 		this.quotas.setQuotas(quotasOf(revision.manifest), now);
+		this.#admission.shares.setWeights(weightsOf(revision.manifest));
 		this.#updateAtMostOnceService();
 		const broadcast = this.#handleMembershipEffects(this.#membership.broadcast({topic: manifestTopic, version: revision.number}), now);
 		const event = this.#event({type: EventType.ManifestAdopted, detail: `revision ${revision.number}`, ...describeIssues(revision)});
--- a/packages/core/src/serving/served-call.ts
+++ b/packages/core/src/serving/served-call.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {RetryQuota} from '../action/retry-quota.js';
+import type {ShareUse} from '../admission/fair-shares.js';
 import type {Work} from '../admission/work.js';
 import type {ErrorKind} from '../errors.js';
 import type {AnswerFrame, AnswerHead, CallFrame} from '../messages.js';
@@ -48,7 +49,7 @@
 		| {readonly type: ServingEffectType.Answer; readonly frame: AnswerFrame}
 		| {readonly type: ServingEffectType.AtMostOnce; readonly effect: AtMostOnceEffect}
 		| {readonly type: ServingEffectType.Admitted; readonly frame: CallFrame}
-		| {readonly type: ServingEffectType.Refused; readonly frame: CallFrame; readonly work: Work; readonly reason: ErrorKind};
+		| {readonly type: ServingEffectType.Refused; readonly frame: CallFrame; readonly work: Work; readonly reason: ErrorKind; /** Present when the share of the organisation decided. */ readonly share?: ShareUse | undefined};
 
 /** State of one call between its arrival and its answer. */
 export type ServedCall = {
--- a/packages/core/src/serving/serving-coordinator.ts
+++ b/packages/core/src/serving/serving-coordinator.ts
@@ -6,6 +6,7 @@
 import {RetryQuota} from '../action/retry-quota.js';
 import {SeenCalls} from '../admission/seen-calls.js';
 import type {AdmissionController} from '../admission/admission-controller.js';
+import type {ShareUse} from '../admission/fair-shares.js';
 import type {UpstreamWork} from '../admission/work-left.js';
 import {
 	AdmissionEffectType, CancelResult, DispatchOutcome, type AdmissionEffect, type Work,
@@ -13,7 +14,7 @@
 import {ErrorKind, Outcome} from '../errors.js';
 import {isIdempotent, type RequestPolicy} from '../manifest/model.js';
 import type {
-	AnswerHead, AnswerPayload, CallError, CallFrame,
+	AnswerHead, AnswerPayload, CallError, CallFrame, RawHeaders,
 } from '../messages.js';
 import {AtMostOnceEffectType, type AtMostOnceEffect} from '../at-most-once/messages.js';
 import type {AtMostOnceCoordinator} from '../at-most-once/at-most-once-coordinator.js';
@@ -35,6 +36,8 @@
 	/** Service of the own upstream; empty while no upstream is announced. */
 	readonly service: () => string;
 	readonly policyOf: (service: string, kind: string) => RequestPolicy | undefined;
+	/** Organisation that the headers of a call name; undefined while the manifest has none. Without it, calls have none. */
+	readonly organisationOf?: (headers: RawHeaders) => string | undefined;
 	readonly revision: () => number;
 	readonly isNotReady: () => boolean;
 	/** Highest overload level of the services that calls of the kind depend on. */
@@ -45,6 +48,8 @@
 
 type AdmissionHandlers = {readonly [Type in AdmissionEffectType]: (call: ServedCall, effect: Extract<AdmissionEffect, {type: Type}>, now: number) => ServingEffect[]};
 
+type RefusalCause = {readonly reason: ErrorKind; readonly share: ShareUse | undefined};
+
 /** Running call on whose behalf the upstream makes nested calls. */
 export type ParentCall = Pick<ServedCall, 'frame' | 'retryQuota' | 'work'>;
 
@@ -65,7 +70,7 @@
 
 	readonly #admissionHandlers: AdmissionHandlers = {
 		[AdmissionEffectType.Dispatch]: (call, _effect, now) => this.#slotGranted(call, now),
-		[AdmissionEffectType.Refuse]: (call, {reason}, now) => this.#refusedByAdmission(call, reason, now),
+		[AdmissionEffectType.Refuse]: (call, {reason, share}, now) => this.#refusedByAdmission(call, {reason, share}, now),
 		[AdmissionEffectType.CancelDispatch]: (call, {reason}) => this.#cancelDispatch(call, reason),
 	};
 
@@ -193,6 +198,7 @@
 	}
 
 	#createCall(frame: CallFrame, now: number): ServedCall {
+		const organisation = this.#definition.organisationOf?.(frame.request.headers);
 		const work: Work = {
 			callId: frame.callId,
 			kind: frame.kind,
@@ -203,6 +209,7 @@
 			arrivedAt: now,
 			guaranteedShare: this.#definition.policyOf(frame.service, frame.kind)?.guaranteedShare ?? 0,
 			lastResort: frame.lastResort,
+			...(organisation === undefined ? {} : {organisation}),
 		};
 		return {
 			frame,
@@ -271,12 +278,12 @@
 		];
 	}
 
-	#refusedByAdmission(call: ServedCall, reason: ErrorKind, now: number): ServingEffect[] {
+	#refusedByAdmission(call: ServedCall, {reason, share}: RefusalCause, now: number): ServingEffect[] {
 		const error = {kind: reason, detail: `${call.frame.service} refused ${call.frame.kind} before dispatch, after ${Math.round(now - call.arrivedAt)} ms`};
 		const atMostOnceCall = toAtMostOnceCall(call);
 		return atMostOnceCall === undefined
-			? this.#refuse(call, error, false, now)
-			: [this.#refusedEffect(call, reason), ...this.fromAtMostOnce(this.#definition.atMostOnce.callNotRun(atMostOnceCall, error, now), now)];
+			? this.#refuse(call, error, false, now, share)
+			: [this.#refusedEffect(call, {reason, share}), ...this.fromAtMostOnce(this.#definition.atMostOnce.callNotRun(atMostOnceCall, error, now), now)];
 	}
 
 	#cancelDispatch(call: ServedCall, reason: ErrorKind): ServingEffect[] {
@@ -343,13 +350,13 @@
 		return [...this.fromAtMostOnce(atMostOnceEffects, now), ...this.#applyAdmissionEffects(admissionEffects, now)];
 	}
 
-	#refuse(call: ServedCall, error: CallError, coversAction: boolean, now: number): ServingEffect[] {
-		return [this.#refusedEffect(call, error.kind), ...this.#answer(call, Outcome.NotRun, undefined, error, coversAction, now)];
+	#refuse(call: ServedCall, error: CallError, coversAction: boolean, now: number, share?: ShareUse): ServingEffect[] {
+		return [this.#refusedEffect(call, {reason: error.kind, share}), ...this.#answer(call, Outcome.NotRun, undefined, error, coversAction, now)];
 	}
 
-	#refusedEffect(call: ServedCall, reason: ErrorKind): ServingEffect {
+	#refusedEffect(call: ServedCall, cause: RefusalCause): ServingEffect {
 		return {
-			type: ServingEffectType.Refused, frame: call.frame, work: call.work, reason,
+			type: ServingEffectType.Refused, frame: call.frame, work: call.work, ...cause,
 		};
 	}
 
--- a/packages/core/src/tests/fair-shares.test.ts
+++ b/packages/core/src/tests/fair-shares.test.ts
@@ -72,7 +72,8 @@
 	const {controller, running} = createBusyController();
 	submitAll(controller, [
 		...repeat(8, () => work('a', {importance: Importance.High})),
-		work('b'), work('c', {importance: Importance.Low, kind: 'guaranteed', guaranteedShare: 0.5}),
+		work('b'),
+		work('c', {importance: Importance.Low, kind: 'guaranteed', guaranteedShare: 0.5}),
 		work('a', {importance: Importance.Critical}),
 	]);
 	t.equal(namesOf(drain(controller, running)), `a:critical c:low ${Array.from({length: 8}, () => 'a:high').join(' ')} b`);
