Show the use of the largest organisations in the metrics

The five largest have a time series each and all others one, so that 5,000 organisations do not become as many. The gauge level stays the level before its division between organisations.

--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -20,6 +20,11 @@
 /** Events whose detail is a reason from a fixed set, which can be a label. */
 const eventTypesWithReason: ReadonlySet<EventType> = new Set([EventType.Refused, EventType.Answered]);
 
+/** Organisations that have a metric of their own, so that 5,000 of them do not become as many time series. */
+const namedOrganisations = 5;
+
+type OrganisationUse = {readonly organisation: string; readonly milliseconds: number};
+
 type EventLabels = Readonly<Record<'type' | 'service' | 'kind' | 'reason', string>>;
 
 /** Metrics of one node. */
@@ -70,6 +75,17 @@
 			[...choices].map(([rule, count]) => this.inc({rule}, count));
 		},
 	});
+	let uses: readonly OrganisationUse[] = [];
+	const usesGauge = new Gauge({
+		name: `${metricPrefix}organisation_use`,
+		help: 'Expected work of dispatched calls by organisation, in milliseconds of a slot per second: the largest few, and all others as one',
+		labelNames: ['organisation'],
+		registers: [],
+		collect() {
+			this.reset();
+			uses.map(({organisation, milliseconds}) => this.set({organisation}, milliseconds));
+		},
+	});
 	const gauges = new Gauge({
 		name: `${metricPrefix}state`, help: 'State of the node by name', labelNames: ['name'], registers,
 	});
@@ -105,6 +121,12 @@
 				registry.registerMetric(choicesCounter);
 			}
 
+			if (uses.length === 0 && core.admission.shares.isActive && registry.getSingleMetric(`${metricPrefix}organisation_use`) === undefined) {
+				registry.registerMetric(usesGauge);
+			}
+
+			uses = organisationUsesOf(core);
+			uses.map(({organisation, milliseconds}) => statsd?.gauge('organisation_use', milliseconds, {organisation}));
 			Object.entries({...gaugeValuesOf(core), held_bytes: heldBytes}).map(([name, value]) => {
 				gauges.set({name}, value);
 				statsd?.gauge(name, value);
@@ -133,12 +155,13 @@
 		limit: core.admission.capacity,
 		in_flight: core.admission.inFlight,
 		waiting: core.admission.waiting,
-		level: core.admission.load.level,
+		level: core.admission.level,
 		members: core.membership.others.length + 1,
 		revision: core.manifest?.number ?? 0,
 		...(Number.isFinite(manifestAge) ? {manifest_age_milliseconds: manifestAge} : {}),
 		claims: core.atMostOnce.memory.claims,
 		...quotaValuesOf(core),
+		...shareValuesOf(core),
 	};
 }
 
@@ -152,6 +175,24 @@
 		};
 }
 
+/** None before the first call of an organisation. */
+function shareValuesOf({admission: {shares}}: NodeCore): Readonly<Record<string, number>> {
+	return shares.isActive || shares.refused > 0 ? {share_refused: shares.refused, share_accounts: shares.size} : {};
+}
+
+/** Empty while no organisation calls. The names of the two groups contain a space, which no organisation's name does. */
+function organisationUsesOf({admission: {shares}}: NodeCore): OrganisationUse[] {
+	if (!shares.isActive) {
+		return [];
+	}
+
+	const {largest, othersMilliseconds} = shares.largest(namedOrganisations, performance.now());
+	return [
+		...largest.map(({organisation = 'no organisation', useMilliseconds}) => ({organisation, milliseconds: useMilliseconds})),
+		{organisation: 'all others', milliseconds: othersMilliseconds},
+	];
+}
+
 async function openStatsd(server: {readonly host: string; readonly port: number}, node: string): Promise<StatsD> {
 	const {StatsD: Client} = await import('hot-shots');
 	return new Client({
