--- a/packages/core/src/admission/admission-controller.ts
+++ b/packages/core/src/admission/admission-controller.ts
@@ -237,16 +237,17 @@
 
 		const longestWait = (this.#latestStart(work, now) - now) * maximumWaitShare;
 		const order = this.#fairOrder;
-		if (this.#expectedWait(work, order, now) <= longestWait) {
+		// Most calls need no count of the entries ahead, which costs a time in proportion to the queue.
+		if (this.#waitBehind(this.#queue.length) <= longestWait || this.#waitBehind(this.#queue.countAhead(work, order, now)) <= longestWait) {
 			return undefined;
 		}
 
 		this.#level.recordOutcome(false, work.arrivedAt);
-		return {reason: ErrorKind.Overloaded, isByShare: order !== undefined && this.#expectedWait(work, undefined, now) <= longestWait};
+		return {reason: ErrorKind.Overloaded, isByShare: order !== undefined && this.#waitBehind(this.#queue.countAhead(work, undefined, now)) <= longestWait};
 	}
 
-	#expectedWait(work: Work, order: FairOrder | undefined, now: number): number {
-		return (this.#queue.countAhead(work, order, now) + 1) * this.#serviceTimes.overallMean / this.capacity;
+	#waitBehind(entries: number): number {
+		return (entries + 1) * this.#serviceTimes.overallMean / this.capacity;
 	}
 
 	#refusalByLength(work: Work, now: number): Refusal | undefined {
--- a/packages/core/src/admission/divided-room.ts
+++ b/packages/core/src/admission/divided-room.ts
@@ -6,16 +6,20 @@
 import {fairLevel, type WeightedDemand} from './water-filling.js';
 
 /**
- * Organisations whose demand per weight is within this factor of the typical one are treated alike. Without it, organisations
- * that are equal but for chance get equal amounts of work, and those that ask for a little more see fewer of their calls answered.
+ * Organisations of one weight whose demand is within this factor of the typical one are treated alike. Without it, organisations
+ * that are equal but for chance get equal amounts of work, and those that ask for a little more see fewer of their calls
+ * answered: the worst of 20 equal ones 0.42 in place of 0.44.
  */
 const alikeFactor = 2;
 
 /** Steps in which the typical demand settles; it moves by less than 10 % after them with one organisation at 10 times the others. */
 const typicalSteps = 6;
 
+/** Organisations of one weight: the demand at which most of their work is asked for, and the mean of the demands near it. */
+type Group = {readonly typical: number; readonly alikeMean: number};
+
 /**
- * Division of room: max-min fair, where organisations near the typical demand count with the mean of their demands.
+ * Division of room: max-min fair, where organisations near the typical demand of their weight count with the mean of these.
  *
  * @example
  * const division = new DividedRoom([{demand: 10, weight: 1}, {demand: 1, weight: 1}], 0.5);
@@ -26,15 +30,12 @@
 	/** Largest part that any party gets. */
 	readonly largestPart: number;
 	readonly #perWeight: number;
-	readonly #typical: number;
-	readonly #alikeMean: number;
+	readonly #groups: ReadonlyMap<number, Group>;
 
 	/** @param part - part of all demands for which there is room, in [0, 1] */
 	constructor(parties: readonly WeightedDemand[], part: number) {
 		const active = parties.filter(({demand}) => demand > 0);
-		this.#typical = typicalDemand(active);
-		const alike = active.filter(party => this.#isAlike(party));
-		this.#alikeMean = sumOf(alike, ({demand}) => demand) / sumOf(alike, ({weight}) => weight);
+		this.#groups = groupByWeight(active);
 		const counted = active.map(party => ({weight: party.weight, demand: this.#countedDemand(party)}));
 		this.#perWeight = fairLevel(counted, sumOf(counted, ({demand}) => demand) * part);
 		this.largestPart = counted.reduce((largest, party) => Math.max(largest, partAt(party, this.#perWeight)), 0);
@@ -45,35 +46,46 @@
 		return partAt({weight: party.weight, demand: this.#countedDemand(party)}, this.#perWeight);
 	}
 
-	#isAlike({demand, weight}: WeightedDemand): boolean {
-		return demand <= weight * this.#typical * alikeFactor && demand * alikeFactor >= weight * this.#typical;
+	#countedDemand({demand, weight}: WeightedDemand): number {
+		const group = this.#groups.get(weight);
+		return group !== undefined && isAlike(demand, group.typical) ? group.alikeMean : demand;
 	}
+}
 
-	#countedDemand(party: WeightedDemand): number {
-		return this.#isAlike(party) ? party.weight * this.#alikeMean : party.demand;
-	}
+function groupByWeight(parties: readonly WeightedDemand[]): ReadonlyMap<number, Group> {
+	const demandsByWeight = new Map<number, number[]>();
+	parties.map(({demand, weight}) => demandsByWeight.set(weight, demandsByWeight.get(weight) ?? []).get(weight)!.push(demand));
+	return new Map([...demandsByWeight].map(([weight, demands]) => {
+		const typical = typicalDemand(demands);
+		const alike = demands.filter(demand => isAlike(demand, typical));
+		return [weight, {typical, alikeMean: sumOf(alike, demand => demand) / alike.length}];
+	}));
 }
 
 /**
- * Demand per weight at which most work is asked for, without the excess of single parties: the mean weighted by demand,
- * where demands count up to a multiple of the mean of the step before.
+ * Demand at which most work is asked for, without the excess of single organisations: the mean weighted by demand, where
+ * demands count up to a multiple of the mean of the step before.
  */
-function typicalDemand(parties: readonly WeightedDemand[]): number {
+function typicalDemand(demands: readonly number[]): number {
 	let typical = Infinity;
 	for (let step = 0; step < typicalSteps; step += 1) {
 		const limit = typical * alikeFactor;
-		const counted = parties.map(({demand, weight}) => ({weight, demand: Math.min(demand, weight * limit)}));
-		typical = sumOf(counted, ({demand, weight}) => demand * demand / weight) / sumOf(counted, ({demand}) => demand);
+		const counted = demands.map(demand => Math.min(demand, limit));
+		typical = sumOf(counted, demand => demand * demand) / sumOf(counted, demand => demand);
 	}
 
 	return typical;
 }
 
+function isAlike(demand: number, typical: number): boolean {
+	return demand <= typical * alikeFactor && demand * alikeFactor >= typical;
+}
+
 function partAt({demand, weight}: WeightedDemand, perWeight: number): number {
 	const room = weight * perWeight;
 	return demand <= room ? 1 : room / demand;
 }
 
-function sumOf(parties: readonly WeightedDemand[], value: (party: WeightedDemand) => number): number {
-	return parties.reduce((sum, party) => sum + value(party), 0);
+function sumOf<Item>(items: readonly Item[], value: (item: Item) => number): number {
+	return items.reduce((sum, item) => sum + value(item), 0);
 }
--- a/packages/core/src/tests/fair-shares.test.ts
+++ b/packages/core/src/tests/fair-shares.test.ts
@@ -177,6 +177,15 @@
 	t.ok(shareOf(fair!, otherCount + 1) > shareOf(off!, otherCount + 1), 'normal: the others of the flooded importance');
 });
 
+/** Guards against a tolerance for chance that hides the weights. */
+test('organisations of weight 3 have three times as many calls answered as those of weight 1, over 20 seeds', async t => {
+	const streams = streamsOf(2 / otherCount);
+	const weights = new Map(streams.slice(0, 10).map(({organisation}) => [organisation!, 3]));
+	const answered = seeds.map(seed => simulateStreams(streams, true, seed, weights).map(result => result.answered));
+	const [heavy, light] = [mean(answered.map(result => mean(result.slice(0, 10)))), mean(answered.map(result => mean(result.slice(10))))];
+	t.ok(Math.abs((heavy / light) - 3) <= 0.5, `${heavy} and ${light} calls`);
+});
+
 /** Guards against an account that lets an organisation back in too late, or with room that it has saved up. */
 test('an organisation that returns after a pause is served like the others, over 20 seeds', async t => {
 	const streams = [...streamsOf(usual), {...big(now => now < 3500 ? 0 : usual), organisation: 'returning'}, big(() => usual * 10)];
