Compute shares at intervals in proportion to the number of organisations

With 5,000 organisations at one importance each window of 50 ms computed all shares anew, at several milliseconds.

--- a/packages/core/src/admission/divided-room.ts
+++ b/packages/core/src/admission/divided-room.ts
@@ -22,23 +22,34 @@
  * Division of room: max-min fair, where organisations near the typical demand of their weight count with the mean of these.
  *
  * @example
- * const division = new DividedRoom([{demand: 10, weight: 1}, {demand: 1, weight: 1}], 0.5);
+ * const division = new DividedRoom([{demand: 10, weight: 1}, {demand: 1, weight: 1}]);
+ * division.divide(0.5);
  * division.partOf({demand: 10, weight: 1}); // 0.45
  * division.partOf({demand: 1, weight: 1}); // 1
  */
 export class DividedRoom {
-	/** Largest part that any party gets. */
-	readonly largestPart: number;
-	readonly #perWeight: number;
 	readonly #groups: ReadonlyMap<number, Group>;
+	readonly #counted: readonly WeightedDemand[];
+	readonly #demand: number;
+	#perWeight = Infinity;
+	#largestPart = 1;
 
-	/** @param part - part of all demands for which there is room, in [0, 1] */
-	constructor(parties: readonly WeightedDemand[], part: number) {
+	constructor(parties: readonly WeightedDemand[]) {
 		const active = parties.filter(({demand}) => demand > 0);
 		this.#groups = groupByWeight(active);
-		const counted = active.map(party => ({weight: party.weight, demand: this.#countedDemand(party)}));
-		this.#perWeight = fairLevel(counted, sumOf(counted, ({demand}) => demand) * part);
-		this.largestPart = counted.reduce((largest, party) => Math.max(largest, partAt(party, this.#perWeight)), 0);
+		this.#counted = active.map(party => ({weight: party.weight, demand: this.#countedDemand(party)}));
+		this.#demand = sumOf(this.#counted, ({demand}) => demand);
+	}
+
+	/** Largest part that any party gets. */
+	get largestPart(): number {
+		return this.#largestPart;
+	}
+
+	/** Divides the room anew. @param part - part of all demands for which there is room, in [0, 1] */
+	divide(part: number): void {
+		this.#perWeight = fairLevel(this.#counted, this.#demand * part);
+		this.#largestPart = this.#counted.length === 0 ? 1 : this.#counted.reduce((largest, party) => Math.max(largest, partAt(party, this.#perWeight)), 0);
 	}
 
 	/** Part of the party's demand that is admitted, in [0, 1]. */
@@ -70,8 +81,7 @@
 	let typical = Infinity;
 	for (let step = 0; step < typicalSteps; step += 1) {
 		const limit = typical * alikeFactor;
-		const counted = demands.map(demand => Math.min(demand, limit));
-		typical = sumOf(counted, demand => demand * demand) / sumOf(counted, demand => demand);
+		typical = sumOf(demands, demand => Math.min(demand, limit) ** 2) / sumOf(demands, demand => Math.min(demand, limit));
 	}
 
 	return typical;
--- a/packages/core/src/admission/fair-shares.ts
+++ b/packages/core/src/admission/fair-shares.ts
@@ -14,8 +14,12 @@
 import {fairLevel} from './water-filling.js';
 import type {Work} from './work.js';
 
-/** Shares are computed again after this time, that of a window of the overload level. */
+/** Shares are computed again after this time, that of a window of the overload level, or after the one for all organisations if it is longer. */
 const refreshMilliseconds = 50;
+
+/** Bounds the cost with 5,000 organisations, whose shares take about 1 ms to compute, to 1 % of a core. */
+const refreshMillisecondsPerOrganisation = 0.1;
+const forgetMilliseconds = 1000;
 const defaultWeight = 1;
 
 /** The parts of a call that its share depends on. */
@@ -45,7 +49,7 @@
 export class FairShares {
 	#weights: ReadonlyMap<string, number> = new Map();
 	#isActive = false;
-	#refreshedAt = -Infinity;
+	#forgottenAt = 0;
 	#refused = 0;
 	/** The overload level as it is divided; without a division the level holds for all organisations. */
 	#divided: {readonly level: number; readonly room: DividedRoom | undefined} = {level: 0, room: undefined};
@@ -53,6 +57,7 @@
 		importance, new ShareAccounts(organisation => this.#weights.get(organisation) ?? defaultWeight),
 	])) as Readonly<Record<Importance, ShareAccounts>>;
 
+	readonly #rooms = new Map<Importance, {readonly at: number; readonly room: DividedRoom}>();
 	readonly #useLevels = Object.fromEntries(Object.values(Importance).map(importance => [importance, {at: -Infinity, level: 0}])) as Readonly<Record<Importance, Cached>>;
 
 	/** Whether calls with an organisation arrived in the last seconds. */
@@ -73,6 +78,7 @@
 	/** Sets the weights of the organisations; those without an entry have weight 1. */
 	setWeights(weights: ReadonlyMap<string, number>): void {
 		this.#weights = weights;
+		this.#rooms.clear();
 		this.#accounts.map(accounts => {
 			accounts.updateWeights();
 			return accounts;
@@ -130,24 +136,21 @@
 
 	/** Divides the level, and removes idle accounts. Call it after each change of the level. */
 	advance(level: number, now: number): void {
-		if (!this.#isActive || (level === this.#divided.level && now - this.#refreshedAt < refreshMilliseconds)) {
+		if (!this.#isActive) {
 			return;
 		}
 
-		this.#refreshedAt = now;
-		this.#accounts.map(accounts => {
-			accounts.forget(now);
-			return accounts;
-		});
-		this.#isActive = this.#accounts.some(accounts => [...accounts.names].some(name => name !== noOrganisation));
-		if (!this.#isActive) {
-			this.#accounts.map(accounts => {
-				accounts.clear();
-				return accounts;
-			});
+		if (now - this.#forgottenAt >= forgetMilliseconds) {
+			this.#forgottenAt = now;
+			this.#forget(now);
 		}
 
-		this.#divide(level, now);
+		const importance = level % cohortCount === 0 ? undefined : importanceOfBand(bandOf(level));
+		const room = importance === undefined || !this.#isActive ? undefined : this.#roomOf(importance, now);
+		if (level !== this.#divided.level || room !== this.#divided.room) {
+			room?.divide(1 - ((level % cohortCount) / cohortCount));
+			this.#divided = {level, room};
+		}
 	}
 
 	/** Use and share of the organisation of a call, for a refusal that its share decided; counts the refusal. */
@@ -177,16 +180,36 @@
 		return Object.values(this.#byImportance);
 	}
 
-	#divide(level: number, now: number): void {
-		const importance = level % cohortCount === 0 ? undefined : Object.values(Importance).find(value => rankOf(value) === bandOf(level));
-		const parties = importance === undefined ? [] : this.#byImportance[importance].at(now);
-		this.#divided = {level, room: parties.length === 0 ? undefined : new DividedRoom(parties, 1 - ((level % cohortCount) / cohortCount))};
+	#forget(now: number): void {
+		this.#accounts.map(accounts => {
+			accounts.forget(now);
+			return accounts;
+		});
+		this.#isActive = this.#accounts.some(accounts => accounts.hasOrganisations);
+		if (!this.#isActive) {
+			this.#accounts.map(accounts => {
+				accounts.clear();
+				return accounts;
+			});
+		}
 	}
 
-	/** Share per weight, in milliseconds of a slot per second; computed at most once in 50 ms, since refusals are frequent. */
+	#roomOf(importance: Importance, now: number): DividedRoom {
+		const accounts = this.#byImportance[importance];
+		const known = this.#rooms.get(importance);
+		if (known !== undefined && now - known.at < refreshTime(accounts)) {
+			return known.room;
+		}
+
+		const room = new DividedRoom(accounts.at(now));
+		this.#rooms.set(importance, {at: now, room});
+		return room;
+	}
+
+	/** Share per weight, in milliseconds of a slot per second. It is kept for a while, since refusals are frequent. */
 	#shareLevel(importance: Importance, now: number): number {
 		const cached = this.#useLevels[importance];
-		if (now - cached.at >= refreshMilliseconds) {
+		if (now - cached.at >= refreshTime(this.#byImportance[importance])) {
 			cached.at = now;
 			const accounts = this.#byImportance[importance].at(now);
 			cached.level = fairLevel(accounts, accounts.reduce((sum, {use}) => sum + use, 0));
@@ -196,6 +219,14 @@
 	}
 }
 
+function refreshTime({size}: ShareAccounts): number {
+	return Math.max(refreshMilliseconds, size * refreshMillisecondsPerOrganisation);
+}
+
+function importanceOfBand(band: number): Importance | undefined {
+	return Object.values(Importance).find(importance => rankOf(importance) === band);
+}
+
 /** The importance, as a rank, to which a priority or level belongs. */
 function bandOf(priority: number): number {
 	return Math.floor(priority / cohortCount);
--- a/packages/core/src/admission/share-accounts.ts
+++ b/packages/core/src/admission/share-accounts.ts
@@ -63,6 +63,11 @@
 		return this.#accounts.size;
 	}
 
+	/** Whether there is an account other than that of calls without an organisation. */
+	get hasOrganisations(): boolean {
+		return this.#accounts.size > Number(this.#accounts.has(noOrganisation));
+	}
+
 	get names(): Iterable<string> {
 		return this.#accounts.keys();
 	}
@@ -133,7 +138,11 @@
 
 	/** Removes idle accounts. */
 	forget(now: number): void {
-		[...this.#accounts].filter(([, {updatedAt}]) => now - updatedAt > idleMilliseconds).map(([organisation]) => this.#accounts.delete(organisation));
+		for (const [organisation, {updatedAt}] of this.#accounts) {
+			if (now - updatedAt > idleMilliseconds) {
+				this.#accounts.delete(organisation);
+			}
+		}
 	}
 
 	/** Removes all accounts. */
