--- a/packages/core/src/admission/admission-controller.ts
+++ b/packages/core/src/admission/admission-controller.ts
@@ -8,9 +8,9 @@
 import {Importance, rankOf} from '../importance.js';
 import {AdaptiveLimit} from './adaptive-limit.js';
 import {allAdmissionMechanisms, type AdmissionLoad, type AdmissionMechanisms} from './admission-mechanisms.js';
-import {FairOrder} from './fair-order.js';
 import {FairShares} from './fair-shares.js';
 import {OverloadLevel} from './overload-level.js';
+import {RoomChecks, type Refusal} from './room-checks.js';
 import {SeenCalls} from './seen-calls.js';
 import {ServiceTimes} from './service-time.js';
 import {RunningWork} from './running-work.js';
@@ -19,23 +19,14 @@
 } from './work.js';
 import {WorkQueue, type Taken} from './work-queue.js';
 
-const queueEntriesPerSlot = 4;
-const queueBaseEntries = 32;
 const tombstoneRetentionMilliseconds = 30_000;
 const maximumTombstones = 50_000;
 
 /** A call counts as on time if it waited at most this share of the time until its latest start, and no longer than its kind takes. */
 const onTimeWaitShare = 0.25;
 
-/** A call whose expected wait exceeds this share of the time until its latest start is refused. */
-const maximumWaitShare = 0.5;
-
-/** The starts of organisations count as equal within the work of this many calls, so that the deadline orders calls of organisations that are near their shares. */
-const toleranceCalls = 2;
 const criticalRank = rankOf(Importance.Critical);
 
-type Refusal = {readonly reason: ErrorKind; /** Whether the share of the organisation decided. */ readonly isByShare?: boolean};
-
 /**
  * Admission control of one upstream. All calls that the node dispatches pass through it, so its count of calls in
  * flight is exact.
@@ -55,17 +46,15 @@
 	readonly #running = new RunningWork();
 	readonly #tombstones = new SeenCalls(tombstoneRetentionMilliseconds, maximumTombstones);
 	readonly #serviceTimes = new ServiceTimes();
-	readonly #order = new FairOrder({
-		shares: this.shares,
-		workOf: (work, now) => this.#expectedWork(work, now),
-		toleranceMilliseconds: () => toleranceCalls * this.#meanWork,
-	});
-
+	readonly #room: RoomChecks;
 	#isAccepting = true;
 
 	constructor(slots: number, mechanisms: AdmissionMechanisms = allAdmissionMechanisms) {
 		this.limit = new AdaptiveLimit(slots);
 		this.#mechanisms = mechanisms;
+		this.#room = new RoomChecks({
+			mechanisms, shares: this.shares, level: this.#level, queue: this.#queue, running: this.#running, serviceTimes: this.#serviceTimes, capacity: () => this.capacity,
+		});
 	}
 
 	get load(): AdmissionLoad {
@@ -181,94 +170,25 @@
 
 		this.#level.recordArrival(work.priority);
 		if (this.#mechanisms.fairShares !== false && this.shares.concerns(work)) {
-			this.shares.arrived(work, this.#expectedWork(work, now), now);
+			this.shares.arrived(work, this.#room.expectedWork(work, now), now);
 		}
 
-		if (work.deadline <= now || this.#willMissDeadline(work, now)) {
+		if (work.deadline <= now || this.#room.willMissDeadline(work, now)) {
 			return {reason: ErrorKind.InsufficientTime};
 		}
 
-		return this.#refusalByLevel(work, now) ?? this.#refusalByWait(work, now) ?? this.#refusalByLength(work, now);
-	}
-
-	/** Expected work of a call in milliseconds of a slot. A kind without samples counts as the mean of all. */
-	#expectedWork({kind}: Work, now: number): number {
-		return this.#serviceTimes.expected(kind, now) || this.#meanWork;
-	}
-
-	get #meanWork(): number {
-		return this.#serviceTimes.overallMean || 1;
-	}
-
-	/** The order by shares; undefined when no organisation calls, so that the deadline alone orders the calls of one importance. */
-	get #fairOrder(): FairOrder | undefined {
-		return this.#mechanisms.importanceOrder && this.shares.isActive ? this.#order : undefined;
-	}
-
-	get #queueLimit(): number {
-		return queueBaseEntries + (queueEntriesPerSlot * this.capacity);
-	}
-
-	/** A kind without running calls is admitted regardless of its estimate, so that a wrong estimate cannot block it forever. */
-	#willMissDeadline(work: Work, now: number): boolean {
-		return this.#mechanisms.doomedCheck && this.#running.countOf(work.kind) > 0 && now > this.#latestStart(work, now);
-	}
-
-	#latestStart(work: Work, now: number): number {
-		return work.deadline - this.#serviceTimes.expected(work.kind, now);
-	}
-
-	#refusalByLevel(work: Work, now: number): Refusal | undefined {
-		const level = this.#mechanisms.overloadLevel ? this.shares.levelOf(work, this.#level.value, now) : 0;
-		return work.priority < level && !this.#hasGuaranteedCapacity(work)
-			? {reason: ErrorKind.Overloaded, isByShare: work.priority >= this.#level.value}
-			: undefined;
-	}
-
-	#hasGuaranteedCapacity(work: Work): boolean {
-		return work.guaranteedShare > 0 && this.#running.countOf(work.kind) < Math.ceil(work.guaranteedShare * this.capacity);
-	}
-
-	/** A call with a long expected wait is refused at once, unless no other node can take it. */
-	#refusalByWait(work: Work, now: number): Refusal | undefined {
-		if (!this.#mechanisms.waitBound || work.lastResort || this.#running.size < this.capacity || this.#hasGuaranteedCapacity(work)) {
-			return undefined;
-		}
-
-		const longestWait = (this.#latestStart(work, now) - now) * maximumWaitShare;
-		const order = this.#fairOrder;
-		// Most calls need no count of the entries ahead, which costs a time in proportion to the queue.
-		if (this.#waitBehind(this.#queue.length) <= longestWait || this.#waitBehind(this.#queue.countAhead(work, order, now)) <= longestWait) {
-			return undefined;
-		}
-
-		this.#level.recordOutcome(false, work.arrivedAt);
-		return {reason: ErrorKind.Overloaded, isByShare: order !== undefined && this.#waitBehind(this.#queue.countAhead(work, undefined, now)) <= longestWait};
-	}
-
-	#waitBehind(entries: number): number {
-		return (entries + 1) * this.#serviceTimes.overallMean / this.capacity;
-	}
-
-	#refusalByLength(work: Work, now: number): Refusal | undefined {
-		return this.#queue.length >= this.#queueLimit && !this.#canDisplace(work, now) ? {reason: ErrorKind.Overloaded} : undefined;
-	}
-
-	#canDisplace(work: Work, now: number): boolean {
-		const last = this.#queue.last(undefined, now);
-		return last !== undefined && (rankOf(last.importance) < rankOf(work.importance) || (this.#fairOrder?.isBeforeLast(this.#queue.entries, work, now) ?? false));
+		return this.#room.refusalOf(work, now);
 	}
 
 	/** Refuses the last waiting call when the queue is longer than its limit. */
 	#displaceLast(now: number): AdmissionEffect[] {
-		const last = this.#queue.length > this.#queueLimit ? this.#queue.last(this.#fairOrder, now) : undefined;
-		if (last === undefined) {
+		const displaced = this.#room.displaced(now);
+		if (displaced === undefined) {
 			return [];
 		}
 
-		const isByShare = last !== this.#queue.last(undefined, now);
-		this.#queue.remove(last.callId);
-		return [this.#toRefusal(last, ErrorKind.Overloaded, isByShare, now)];
+		this.#queue.remove(displaced.work.callId);
+		return [this.#toRefusal(displaced.work, ErrorKind.Overloaded, displaced.isByShare, now)];
 	}
 
 	#cancelRunning(callId: string, reason: ErrorKind): AdmissionEffect[] {
@@ -277,8 +197,7 @@
 	}
 
 	#refuseExpired(now: number): AdmissionEffect[] {
-		const isTooLate = (work: Work): boolean => now >= work.deadline
-			|| (this.#mechanisms.doomedCheck && this.#running.countOf(work.kind) > 0 && now > this.#latestStart(work, now));
+		const isTooLate = (work: Work): boolean => now >= work.deadline || this.#room.willMissDeadline(work, now);
 		const expired = this.#queue.removeAll(work => isTooLate(work));
 		expired.map(work => {
 			this.#level.recordOutcome(false, work.arrivedAt);
@@ -308,7 +227,7 @@
 
 			const {work, leastStart} = taken;
 			if (leastStart !== undefined) {
-				this.shares.charge(work, this.#expectedWork(work, now), leastStart, now);
+				this.shares.charge(work, this.#room.expectedWork(work, now), leastStart, now);
 			}
 
 			this.#recordWait(work, now);
@@ -329,8 +248,8 @@
 		}
 
 		const isCritical = (work: Work): boolean => rankOf(work.importance) === criticalRank;
-		const order = this.#fairOrder;
-		return this.#queue.takeFirst(work => isCritical(work) || this.#hasGuaranteedCapacity(work), order, now) ?? this.#queue.takeFirst(() => true, order, now);
+		const order = this.#room.fairOrder;
+		return this.#queue.takeFirst(work => isCritical(work) || this.#room.hasGuaranteedCapacity(work), order, now) ?? this.#queue.takeFirst(() => true, order, now);
 	}
 
 	#takeOldest(): Taken | undefined {
@@ -343,7 +262,7 @@
 	 * of the slots, and such waits add up over the calls of a chain.
 	 */
 	#recordWait(work: Work, now: number): void {
-		const slack = this.#latestStart(work, now) - work.arrivedAt;
+		const slack = this.#room.latestStart(work, now) - work.arrivedAt;
 		const expectedMilliseconds = this.#serviceTimes.expected(work.kind, now);
 		const onTimeWait = Math.min(slack * onTimeWaitShare, expectedMilliseconds > 0 ? expectedMilliseconds : Infinity);
 		this.#level.recordOutcome(now - work.arrivedAt <= onTimeWait, work.arrivedAt);
