--- a/packages/core/src/tests/fair-shares.test.ts
+++ b/packages/core/src/tests/fair-shares.test.ts
@@ -99,15 +99,16 @@
 	t.equal(controller.shares.refused, 1);
 });
 
-test('a long expected wait is that of the own organisation, and a refusal for it states use and share', async t => {
+/** Guards against an expected wait that counts calls of others which are dispatched later, or leaves out those dispatched earlier. */
+test('the expected wait is that in the order by shares, and a refusal that the shares decide states use and share', async t => {
 	const {controller} = createBusyController();
-	submitAll(controller, repeat(20, () => work('a', {deadline: 5000})));
-	const limited = {deadline: 300, lastResort: false};
-	t.same(submitAll(controller, [work('b', limited)]), [], 'calls of a have earlier or later deadlines and do not count');
-	t.match(submitAll(controller, [work('a', limited)]), [], 'the deadline orders the calls of one organisation');
-	submitAll(controller, repeat(10, () => work('a', {deadline: 250})));
-	t.match(submitAll(controller, [work('a', {deadline: 280, lastResort: false})]), [{type: AdmissionEffectType.Refuse}]);
-	t.same(submitAll(controller, [work('b', {deadline: 300, lastResort: false})]), []);
+	submitAll(controller, repeat(20, () => work('a', {deadline: 250})));
+	const limited = {deadline: 280, lastResort: false};
+	t.match(submitAll(controller, [work('a', limited)]), [{type: AdmissionEffectType.Refuse, work: {organisation: 'a'}, share: undefined}], 'the deadline orders the calls of one organisation');
+	t.same(submitAll(controller, [work('b', limited)]), [], 'most calls of a are due after the first of b');
+	const late = createBusyController();
+	submitAll(late.controller, [...repeat(5, () => work('a', {deadline: 250})), ...repeat(10, () => work('b', {deadline: 9000}))]);
+	t.match(submitAll(late.controller, [work('a', limited)]), [{type: AdmissionEffectType.Refuse, share: {organisation: 'a'}}], 'some calls of b are due before, though their deadlines are later');
 });
 
 /** Guards against debt or credit that an organisation brings back from a pause. */
