--- a/packages/core/src/admission/admission-controller.ts
+++ b/packages/core/src/admission/admission-controller.ts
@@ -7,52 +7,26 @@
 import {ErrorKind} from '../errors.js';
 import {Importance, rankOf} from '../importance.js';
 import {AdaptiveLimit} from './adaptive-limit.js';
+import {allAdmissionMechanisms, type AdmissionLoad, type AdmissionMechanisms} from './admission-mechanisms.js';
+import {FairShares} from './fair-shares.js';
 import {OverloadLevel} from './overload-level.js';
+import {RoomChecks, type Refusal} from './room-checks.js';
 import {SeenCalls} from './seen-calls.js';
 import {ServiceTimes} from './service-time.js';
 import {RunningWork} from './running-work.js';
 import {
 	AdmissionEffectType, CancelResult, DispatchOutcome, type AdmissionEffect, type Work,
 } from './work.js';
-import {WorkQueue} from './work-queue.js';
+import {WorkQueue, type Taken} from './work-queue.js';
 
-const queueEntriesPerSlot = 4;
-const queueBaseEntries = 32;
 const tombstoneRetentionMilliseconds = 30_000;
 const maximumTombstones = 50_000;
 
 /** A call counts as on time if it waited at most this share of the time until its latest start, and no longer than its kind takes. */
 const onTimeWaitShare = 0.25;
 
-/** A call whose expected wait exceeds this share of the time until its latest start is refused. */
-const maximumWaitShare = 0.5;
 const criticalRank = rankOf(Importance.Critical);
 
-/** Switches for the parts of admission control, to measure the effect of each one. */
-export type AdmissionMechanisms = {
-	readonly adaptiveLimit: boolean;
-	readonly importanceOrder: boolean;
-	readonly overloadLevel: boolean;
-	readonly doomedCheck: boolean;
-	readonly waitBound: boolean;
-};
-
-export const allAdmissionMechanisms: AdmissionMechanisms = {
-	adaptiveLimit: true,
-	importanceOrder: true,
-	overloadLevel: true,
-	doomedCheck: true,
-	waitBound: true,
-};
-
-/** Load of the upstream, reported with each answer. */
-export type AdmissionLoad = {
-	/** Free slots for new calls. Negative if calls wait, or if more calls run than the limit now allows. */
-	readonly headroom: number;
-	/** Lowest priority that is admitted. */
-	readonly level: number;
-};
-
 /**
  * Admission control of one upstream. All calls that the node dispatches pass through it, so its count of calls in
  * flight is exact.
@@ -64,21 +38,32 @@
  */
 export class AdmissionController {
 	readonly limit: AdaptiveLimit;
+	/** Shares of organisations; set their weights with each manifest. */
+	readonly shares = new FairShares();
 	readonly #mechanisms: AdmissionMechanisms;
 	readonly #level = new OverloadLevel();
 	readonly #queue = new WorkQueue();
 	readonly #running = new RunningWork();
 	readonly #tombstones = new SeenCalls(tombstoneRetentionMilliseconds, maximumTombstones);
 	readonly #serviceTimes = new ServiceTimes();
+	readonly #room: RoomChecks;
 	#isAccepting = true;
 
 	constructor(slots: number, mechanisms: AdmissionMechanisms = allAdmissionMechanisms) {
 		this.limit = new AdaptiveLimit(slots);
 		this.#mechanisms = mechanisms;
+		this.#room = new RoomChecks({
+			mechanisms, shares: this.shares, level: this.#level, queue: this.#queue, running: this.#running, serviceTimes: this.#serviceTimes, capacity: () => this.capacity,
+		});
 	}
 
 	get load(): AdmissionLoad {
-		return {headroom: this.capacity - this.#running.size - this.#queue.length, level: this.#level.value};
+		return {headroom: this.capacity - this.#running.size - this.#queue.length, level: this.shares.announcedLevel(this.#level.value)};
+	}
+
+	/** Overload level: the lowest priority that is admitted, before it is divided by the shares of organisations. */
+	get level(): number {
+		return this.#level.value;
 	}
 
 	get inFlight(): number {
@@ -112,11 +97,11 @@
 	submit(work: Work, now: number): AdmissionEffect[] {
 		const refusal = this.#refusalOnArrival(work, now);
 		if (refusal !== undefined) {
-			return [{type: AdmissionEffectType.Refuse, work, reason: refusal}];
+			return [this.#toRefusal(work, refusal.reason, refusal.isByShare === true, now)];
 		}
 
 		this.#queue.add(work);
-		return [...this.#dispatchWaiting(now), ...this.#displaceLast()];
+		return [...this.#dispatchWaiting(now), ...this.#displaceLast(now)];
 	}
 
 	/**
@@ -167,81 +152,43 @@
 	/** Handles deadlines, waits that are too long and the overload level. Call it every few milliseconds while calls are open. */
 	advance(now: number): AdmissionEffect[] {
 		this.#level.advance(now);
+		this.shares.advance(this.#level.value, now);
 		this.#tombstones.advance(now);
 		const expired = this.#refuseExpired(now);
 		const overdue = this.#running.overdueEntries(now).flatMap(entry => this.#cancelRunning(entry.work.callId, ErrorKind.TimedOut));
 		return [...expired, ...overdue, ...this.#dispatchWaiting(now)];
 	}
 
-	#refusalOnArrival(work: Work, now: number): ErrorKind | undefined {
+	#refusalOnArrival(work: Work, now: number): Refusal | undefined {
 		if (this.#tombstones.has(work.callId)) {
-			return ErrorKind.Cancelled;
+			return {reason: ErrorKind.Cancelled};
 		}
 
 		if (!this.#isAccepting) {
-			return ErrorKind.Draining;
+			return {reason: ErrorKind.Draining};
 		}
 
 		this.#level.recordArrival(work.priority);
-		if (work.deadline <= now || this.#willMissDeadline(work, now)) {
-			return ErrorKind.InsufficientTime;
+		if (this.#mechanisms.fairShares !== false && this.shares.concerns(work)) {
+			this.shares.arrived(work, this.#room.expectedWork(work, now), now);
 		}
 
-		if (this.#isBelowLevel(work) || this.#wouldWaitTooLong(work, now)) {
-			return ErrorKind.Overloaded;
+		if (work.deadline <= now || this.#room.willMissDeadline(work, now)) {
+			return {reason: ErrorKind.InsufficientTime};
 		}
 
-		return this.#queue.length >= this.#queueLimit && !this.#canDisplace(work) ? ErrorKind.Overloaded : undefined;
-	}
-
-	get #queueLimit(): number {
-		return queueBaseEntries + (queueEntriesPerSlot * this.capacity);
-	}
-
-	/** A kind without running calls is admitted regardless of its estimate, so that a wrong estimate cannot block it forever. */
-	#willMissDeadline(work: Work, now: number): boolean {
-		return this.#mechanisms.doomedCheck && this.#running.countOf(work.kind) > 0 && now > this.#latestStart(work, now);
+		return this.#room.refusalOf(work, now);
 	}
 
-	#latestStart(work: Work, now: number): number {
-		return work.deadline - this.#serviceTimes.expected(work.kind, now);
-	}
-
-	#isBelowLevel(work: Work): boolean {
-		return this.#mechanisms.overloadLevel && work.priority < this.#level.value && !this.#hasGuaranteedCapacity(work);
-	}
-
-	#hasGuaranteedCapacity(work: Work): boolean {
-		return work.guaranteedShare > 0 && this.#running.countOf(work.kind) < Math.ceil(work.guaranteedShare * this.capacity);
-	}
-
-	/** A call with a long expected wait is refused at once, unless no other node can take it. */
-	#wouldWaitTooLong(work: Work, now: number): boolean {
-		if (!this.#mechanisms.waitBound || work.lastResort || this.#running.size < this.capacity || this.#hasGuaranteedCapacity(work)) {
-			return false;
-		}
-
-		const slack = this.#latestStart(work, now) - now;
-		if (this.#expectedWait(work) > slack * maximumWaitShare) {
-			this.#level.recordOutcome(false, work.arrivedAt);
-			return true;
+	/** Refuses the last waiting call when the queue is longer than its limit. */
+	#displaceLast(now: number): AdmissionEffect[] {
+		const displaced = this.#room.displaced(now);
+		if (displaced === undefined) {
+			return [];
 		}
 
-		return false;
-	}
-
-	#expectedWait(work: Work): number {
-		return (this.#queue.countAhead(work) + 1) * this.#serviceTimes.overallMean / this.capacity;
-	}
-
-	#canDisplace(work: Work): boolean {
-		const {last} = this.#queue;
-		return last !== undefined && rankOf(last.importance) < rankOf(work.importance);
-	}
-
-	/** Refuses the last waiting call when the queue is longer than its limit. */
-	#displaceLast(): AdmissionEffect[] {
-		return this.#queue.length > this.#queueLimit && this.#queue.last !== undefined ? this.#refuseQueued([this.#queue.last], ErrorKind.Overloaded) : [];
+		this.#queue.remove(displaced.work.callId);
+		return [this.#toRefusal(displaced.work, ErrorKind.Overloaded, displaced.isByShare, now)];
 	}
 
 	#cancelRunning(callId: string, reason: ErrorKind): AdmissionEffect[] {
@@ -250,8 +197,7 @@
 	}
 
 	#refuseExpired(now: number): AdmissionEffect[] {
-		const isTooLate = (work: Work): boolean => now >= work.deadline
-			|| (this.#mechanisms.doomedCheck && this.#running.countOf(work.kind) > 0 && now > this.#latestStart(work, now));
+		const isTooLate = (work: Work): boolean => now >= work.deadline || this.#room.willMissDeadline(work, now);
 		const expired = this.#queue.removeAll(work => isTooLate(work));
 		expired.map(work => {
 			this.#level.recordOutcome(false, work.arrivedAt);
@@ -260,23 +206,30 @@
 		return this.#toRefusals(expired, ErrorKind.InsufficientTime);
 	}
 
-	#refuseQueued(works: readonly Work[], reason: ErrorKind): AdmissionEffect[] {
-		works.map(work => this.#queue.remove(work.callId));
-		return this.#toRefusals(works, reason);
-	}
-
 	#toRefusals(works: readonly Work[], reason: ErrorKind): AdmissionEffect[] {
 		return works.map(work => ({type: AdmissionEffectType.Refuse, work, reason}));
 	}
 
+	/** @param isByShare - whether the call would not have been refused without the share of its organisation */
+	#toRefusal(work: Work, reason: ErrorKind, isByShare: boolean, now: number): AdmissionEffect {
+		return {
+			type: AdmissionEffectType.Refuse, work, reason, ...(isByShare ? {share: this.shares.recordRefusal(work, now)} : {}),
+		};
+	}
+
 	#dispatchWaiting(now: number): AdmissionEffect[] {
 		const effects: AdmissionEffect[] = [];
 		while (this.#running.size < this.capacity) {
-			const work = this.#takeNext();
-			if (work === undefined) {
+			const taken = this.#takeNext(now);
+			if (taken === undefined) {
 				break;
 			}
 
+			const {work, leastStart} = taken;
+			if (leastStart !== undefined) {
+				this.shares.charge(work, this.#room.expectedWork(work, now), leastStart, now);
+			}
+
 			this.#recordWait(work, now);
 			this.#running.add(work, now);
 			effects.push({type: AdmissionEffectType.Dispatch, work});
@@ -289,18 +242,19 @@
 	 * Takes the first waiting call that is critical or of a kind below its guaranteed share. Without one, takes the first
 	 * call of the queue. With the importance order switched off, takes the call that arrived first.
 	 */
-	#takeNext(): Work | undefined {
+	#takeNext(now: number): Taken | undefined {
 		if (!this.#mechanisms.importanceOrder) {
 			return this.#takeOldest();
 		}
 
 		const isCritical = (work: Work): boolean => rankOf(work.importance) === criticalRank;
-		return this.#queue.takeFirst(work => isCritical(work) || this.#hasGuaranteedCapacity(work)) ?? this.#queue.takeFirst();
+		const order = this.#room.fairOrder;
+		return this.#queue.takeFirst(work => isCritical(work) || this.#room.hasGuaranteedCapacity(work), order, now) ?? this.#queue.takeFirst(() => true, order, now);
 	}
 
-	#takeOldest(): Work | undefined {
+	#takeOldest(): Taken | undefined {
 		const oldest = this.#queue.entries.reduce<Work | undefined>((best, work) => best === undefined || work.arrivedAt < best.arrivedAt ? work : best, undefined);
-		return oldest === undefined ? undefined : this.#queue.remove(oldest.callId);
+		return oldest === undefined ? undefined : {work: this.#queue.remove(oldest.callId)!, leastStart: undefined};
 	}
 
 	/**
@@ -308,7 +262,7 @@
 	 * of the slots, and such waits add up over the calls of a chain.
 	 */
 	#recordWait(work: Work, now: number): void {
-		const slack = this.#latestStart(work, now) - work.arrivedAt;
+		const slack = this.#room.latestStart(work, now) - work.arrivedAt;
 		const expectedMilliseconds = this.#serviceTimes.expected(work.kind, now);
 		const onTimeWait = Math.min(slack * onTimeWaitShare, expectedMilliseconds > 0 ? expectedMilliseconds : Infinity);
 		this.#level.recordOutcome(now - work.arrivedAt <= onTimeWait, work.arrivedAt);
