Separate the choice of a serving node from the router's state

The router drew random numbers and counted its choices while it chose, so that nothing could ask it without an effect. The choice is now a pure function of candidates, loads, expected ends and random numbers, which also returns its steps; the router counts what it returns.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -71,6 +71,7 @@
 export * from './routing/expected-end.js';
 export * from './routing/peer-loads.js';
 export * from './routing/rendezvous.js';
+export * from './routing/route-choice.js';
 export * from './routing/router.js';
 export * from './serving/served-call.js';
 export * from './serving/serving-coordinator.js';
--- a/packages/core/src/node/locator.ts
+++ b/packages/core/src/node/locator.ts
@@ -10,7 +10,8 @@
 import {Importance} from '../importance.js';
 import type {Member} from '../membership/member.js';
 import {PrimaryLookupType, type RangeDirectory} from '../at-most-once/range-directory.js';
-import {RouteType, type Router, type RoutingRequest} from '../routing/router.js';
+import {RouteType, type RoutingRequest} from '../routing/route-choice.js';
+import type {Router} from '../routing/router.js';
 
 /** Parts of the node that the locator reads. */
 export type LocatorDefinition = {
--- a/packages/core/src/routing/expected-end.ts
+++ b/packages/core/src/routing/expected-end.ts
@@ -45,6 +45,18 @@
 	readonly linkMilliseconds: number;
 };
 
+/** Parts of the expected end of a call at one peer, in milliseconds. */
+export type EndEstimate = {
+	/** Time until the answer would arrive, with the time of the link. */
+	readonly endMilliseconds: number;
+	/** Expected wait for a slot at the present speed of the machine. */
+	readonly waitMilliseconds: number;
+	/** Likely work of the call at the present speed of the machine. */
+	readonly costMilliseconds: number;
+	/** Age of the report that the estimate is based on. */
+	readonly ageMilliseconds: number;
+};
+
 /**
  * Work of the peers by name, and what a call would take at each.
  *
@@ -76,6 +88,11 @@
 
 	/** Milliseconds until the answer to a call sent now would arrive; undefined without a recent report or any known work. */
 	expected(peer: string, kind: string, bodyBytes: number, room: PeerRoom, now: number): number | undefined {
+		return this.estimate(peer, kind, bodyBytes, room, now)?.endMilliseconds;
+	}
+
+	/** The parts of the expected end; undefined without a recent report or any known work. */
+	estimate(peer: string, kind: string, bodyBytes: number, room: PeerRoom, now: number): EndEstimate | undefined {
 		const work = this.#peers.get(peer);
 		const reference = this.#references.get(costClassOf(kind, bodyBytes)) ?? this.#overallReference();
 		if (work === undefined || reference === undefined || now - work.reportedAt > reportValidityMilliseconds) {
@@ -87,7 +104,13 @@
 		const freshness = Math.exp(-(now - work.reportedAt) / (freshCalls * ownMilliseconds));
 		const waitNow = expectedWait(work.workLeftMilliseconds + sentMilliseconds, room);
 		const wait = (freshness * waitNow) + ((1 - freshness) * (work.usualWaitMilliseconds + sentMilliseconds));
-		return (2 * room.linkMilliseconds) + (work.speed.slowdown(now) * (ownMilliseconds + wait));
+		const slowdown = work.speed.slowdown(now);
+		return {
+			endMilliseconds: (2 * room.linkMilliseconds) + (slowdown * (ownMilliseconds + wait)),
+			waitMilliseconds: slowdown * wait,
+			costMilliseconds: slowdown * ownMilliseconds,
+			ageMilliseconds: now - work.reportedAt,
+		};
 	}
 
 	/** Removes all other peers. */
--- a/packages/core/src/routing/peer-loads.ts
+++ b/packages/core/src/routing/peer-loads.ts
@@ -85,6 +85,12 @@
 		};
 	}
 
+	/** Milliseconds since the peer's last report; undefined without one. The headroom of an older report than a second is not used. */
+	reportAge(peer: string, now: number): number | undefined {
+		const load = this.#peers.get(peer);
+		return load === undefined || load.reportedAt === -Infinity ? undefined : now - load.reportedAt;
+	}
+
 	/** Overload levels of the peer for the kind; undefined without a recent report. */
 	level(peer: string, kind: string, now: number): PeerLevel | undefined {
 		const entry = this.#peers.get(peer)?.levels.get(kind);
