Separate decisions on requests from their effects in the core

Arrival at the entry node, the turn of a split route, the lookup of a primary, admission at the upstream and quotas counted or recorded while they decided. Each has now a part without an effect, which the serving code uses itself; a quota is previewed on copies of its state, since admission takes tokens in several steps.

--- a/packages/core/src/admission/admission-controller.ts
+++ b/packages/core/src/admission/admission-controller.ts
@@ -7,6 +7,7 @@
 import {ErrorKind} from '../errors.js';
 import {Importance, rankOf} from '../importance.js';
 import {AdaptiveLimit} from './adaptive-limit.js';
+import {ArrivalRefusal, arrivalRefusalKinds, arrivalRefusals} from './arrival-refusal.js';
 import {OverloadLevel} from './overload-level.js';
 import {SeenCalls} from './seen-calls.js';
 import {ServiceTimes} from './service-time.js';
@@ -72,6 +73,15 @@
 	readonly #serviceTimes = new ServiceTimes();
 	#isAccepting = true;
 
+	readonly #arrivalChecks: Readonly<Record<ArrivalRefusal, (work: Work, now: number) => boolean>> = {
+		[ArrivalRefusal.Cancelled]: work => this.#tombstones.has(work.callId),
+		[ArrivalRefusal.Draining]: () => !this.#isAccepting,
+		[ArrivalRefusal.LittleTime]: (work, now) => work.deadline <= now || this.#willMissDeadline(work, now),
+		[ArrivalRefusal.BelowLevel]: work => this.#isBelowLevel(work),
+		[ArrivalRefusal.LongWait]: (work, now) => this.#wouldWaitTooLong(work, now),
+		[ArrivalRefusal.FullQueue]: work => this.#queue.length >= this.#queueLimit && !this.#canDisplace(work),
+	};
+
 	constructor(slots: number, mechanisms: AdmissionMechanisms = allAdmissionMechanisms) {
 		this.limit = new AdaptiveLimit(slots);
 		this.#mechanisms = mechanisms;
@@ -173,25 +183,28 @@
 		return [...expired, ...overdue, ...this.#dispatchWaiting(now)];
 	}
 
-	#refusalOnArrival(work: Work, now: number): ErrorKind | undefined {
-		if (this.#tombstones.has(work.callId)) {
-			return ErrorKind.Cancelled;
-		}
+	/** Why a call that arrives now would be refused; undefined when it would run or wait. It changes nothing. */
+	arrivalRefusal(work: Work, now: number): ArrivalRefusal | undefined {
+		return arrivalRefusals.find(cause => this.#arrivalChecks[cause](work, now));
+	}
 
-		if (!this.#isAccepting) {
-			return ErrorKind.Draining;
-		}
+	/** Expected wait for a slot and expected work of a call that arrives now, in milliseconds. It changes nothing. */
+	expectation(work: Work, now: number): {readonly waitMilliseconds: number; readonly costMilliseconds: number} {
+		const waitMilliseconds = this.#running.size < this.capacity ? 0 : this.#expectedWait(work);
+		return {waitMilliseconds, costMilliseconds: this.#serviceTimes.expected(work.kind, now)};
+	}
 
-		this.#level.recordArrival(work.priority);
-		if (work.deadline <= now || this.#willMissDeadline(work, now)) {
-			return ErrorKind.InsufficientTime;
+	#refusalOnArrival(work: Work, now: number): ErrorKind | undefined {
+		const cause = this.arrivalRefusal(work, now);
+		if (cause !== ArrivalRefusal.Cancelled && cause !== ArrivalRefusal.Draining) {
+			this.#level.recordArrival(work.priority);
 		}
 
-		if (this.#isBelowLevel(work) || this.#wouldWaitTooLong(work, now)) {
-			return ErrorKind.Overloaded;
+		if (cause === ArrivalRefusal.LongWait) {
+			this.#level.recordOutcome(false, work.arrivedAt);
 		}
 
-		return this.#queue.length >= this.#queueLimit && !this.#canDisplace(work) ? ErrorKind.Overloaded : undefined;
+		return cause === undefined ? undefined : arrivalRefusalKinds[cause];
 	}
 
 	get #queueLimit(): number {
@@ -222,12 +235,7 @@
 		}
 
 		const slack = this.#latestStart(work, now) - now;
-		if (this.#expectedWait(work) > slack * maximumWaitShare) {
-			this.#level.recordOutcome(false, work.arrivedAt);
-			return true;
-		}
-
-		return false;
+		return this.#expectedWait(work) > slack * maximumWaitShare;
 	}
 
 	#expectedWait(work: Work): number {
--- a/packages/core/src/at-most-once/range-directory.ts
+++ b/packages/core/src/at-most-once/range-directory.ts
@@ -47,10 +47,20 @@
 		}
 	}
 
+	/** Finds the primary of a key, and requests a pull of the record where the known one does not suffice. */
 	lookUp(service: string, key: string, memberOf: (name: string) => Member | undefined): PrimaryLookup {
+		const lookup = this.find(service, key, memberOf);
+		if (lookup.type !== PrimaryLookupType.Found) {
+			this.#requestedPulls.add(service);
+		}
+
+		return lookup;
+	}
+
+	/** Finds the primary of a key in the known record, without requesting a newer one. */
+	find(service: string, key: string, memberOf: (name: string) => Member | undefined): PrimaryLookup {
 		const range = this.#records.get(service)?.record.ranges[rangeOf(key)];
 		if (range === undefined) {
-			this.#requestedPulls.add(service);
 			return {type: PrimaryLookupType.Wait};
 		}
 
@@ -59,7 +69,6 @@
 			return {type: PrimaryLookupType.Found, member: primary, epoch: range.epoch};
 		}
 
-		this.#requestedPulls.add(service);
 		const backup = range.backup === null ? undefined : findAliveHolder(range.backup, memberOf);
 		return {type: backup === undefined ? PrimaryLookupType.Unavailable : PrimaryLookupType.Wait};
 	}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * from './action/trace-context.js';
 export * from './admission/adaptive-limit.js';
 export * from './admission/admission-controller.js';
+export * from './admission/arrival-refusal.js';
 export * from './admission/cost-model.js';
 export * from './admission/machine-speed.js';
 export * from './admission/overload-level.js';
--- a/packages/core/src/manifest/routes.ts
+++ b/packages/core/src/manifest/routes.ts
@@ -141,9 +141,29 @@
 	readonly #credits = new Map<string, number[]>();
 
 	select(route: Route): string {
+		const {service, credits} = this.#turnOf(route);
+		if (credits !== undefined) {
+			this.#credits.set(route.name, credits);
+		}
+
+		return service;
+	}
+
+	/** The service that the next request of the route gets, without taking the turn. */
+	peek(route: Route): string {
+		return this.#turnOf(route).service;
+	}
+
+	/** Discards the state of all routes, since a new manifest may change the weights. */
+	reset(): void {
+		this.#credits.clear();
+	}
+
+	/** The service of the next turn, and the credits after it; undefined where the route has a single service. */
+	#turnOf(route: Route): {readonly service: string; readonly credits: number[] | undefined} {
 		const [first] = route.services;
 		if (route.services.length === 1) {
-			return first!.service;
+			return {service: first!.service, credits: undefined};
 		}
 
 		const total = route.services.reduce((sum, {weight}) => sum + weight, 0);
@@ -151,13 +171,7 @@
 		const credits = route.services.map(({weight}, index) => (known?.[index] ?? 0) + weight);
 		const highest = credits.indexOf(Math.max(...credits));
 		credits[highest] = (credits[highest] ?? 0) - total;
-		this.#credits.set(route.name, credits);
-		return route.services[highest]!.service;
-	}
-
-	/** Discards the state of all routes, since a new manifest may change the weights. */
-	reset(): void {
-		this.#credits.clear();
+		return {service: route.services[highest]!.service, credits};
 	}
 }
 
--- a/packages/core/src/node/active-manifest.ts
+++ b/packages/core/src/node/active-manifest.ts
@@ -92,23 +92,24 @@
 		return true;
 	}
 
+	/** Whether requests are held now, since a newer revision is expected. */
+	holdsRequests(now: number): boolean {
+		return this.adoption.isBehind && now - this.#behindSince < maximumHoldMilliseconds;
+	}
+
 	/** Holds a request while a newer revision is expected; returns false when the request must be processed with the active one. */
 	hold(request: CallerRequest, now: number): boolean {
-		if (!this.adoption.isBehind || now - this.#behindSince >= maximumHoldMilliseconds) {
-			return false;
+		const isHeld = this.holdsRequests(now);
+		if (isHeld) {
+			this.#heldRequests.push(request);
 		}
 
-		this.#heldRequests.push(request);
-		return true;
+		return isHeld;
 	}
 
 	/** Removes and returns the held requests once the revision has arrived or the time limit has passed. */
 	release(now: number): CallerRequest[] {
-		if (this.adoption.isBehind && now - this.#behindSince < maximumHoldMilliseconds) {
-			return [];
-		}
-
-		return this.releaseAll();
+		return this.holdsRequests(now) ? [] : this.releaseAll();
 	}
 
 	/** Removes and returns the held requests, whether the revision has arrived or not. */
--- a/packages/core/src/node/caller-requests.ts
+++ b/packages/core/src/node/caller-requests.ts
@@ -33,7 +33,7 @@
 	readonly manifest: Manifest;
 	/** Routes of the manifest; undefined when it has none. */
 	readonly routes: RouteTable<Route | InvalidRoute> | undefined;
-	readonly splitSelector: SplitSelector;
+	readonly splitSelector: Pick<SplitSelector, 'select'>;
 	readonly parentOf: (callId: string | undefined) => ParentCall | undefined;
 	/** The running call that serves the request with this id. */
 	readonly parentOfRequest: (requestId: string) => ParentCall | undefined;
--- a/packages/core/src/node/locator.ts
+++ b/packages/core/src/node/locator.ts
@@ -9,8 +9,8 @@
 } from '../entry/entry-call.js';
 import {Importance} from '../importance.js';
 import type {Member} from '../membership/member.js';
-import {PrimaryLookupType, type RangeDirectory} from '../at-most-once/range-directory.js';
-import {RouteType, type RoutingRequest} from '../routing/route-choice.js';
+import {PrimaryLookupType, type PrimaryLookup, type RangeDirectory} from '../at-most-once/range-directory.js';
+import {RouteType, type RouteChoice, type RoutingRequest} from '../routing/route-choice.js';
 import type {Router} from '../routing/router.js';
 
 /** Parts of the node that the locator reads. */
@@ -37,7 +37,11 @@
 }
 
 function locateByLoad(router: Router, request: EntryRequest, excluded: ReadonlySet<string>, now: number): LocateResult {
-	const route = router.route(toRoutingRequest(request, excluded), now);
+	return toLocateResult(request, router.route(toRoutingRequest(request, excluded), now));
+}
+
+/** The result of a choice by load. */
+export function toLocateResult(request: EntryRequest, route: RouteChoice): LocateResult {
 	if (route.type === RouteType.Send) {
 		return {type: LocateResultType.Found, destination: {member: route.candidate.member, epoch: 0}};
 	}
@@ -51,7 +55,11 @@
 }
 
 function locateByKey(definition: LocatorDefinition, request: EntryRequest, key: string, excluded: ReadonlySet<string>): LocateResult {
-	const lookup = definition.directory.lookUp(request.service, key, definition.memberOf);
+	return toKeyLocateResult(request, definition.directory.lookUp(request.service, key, definition.memberOf), excluded);
+}
+
+/** The result of a lookup by key. */
+export function toKeyLocateResult(request: EntryRequest, lookup: PrimaryLookup, excluded: ReadonlySet<string>): LocateResult {
 	if (lookup.type === PrimaryLookupType.Wait) {
 		return {type: LocateResultType.Wait};
 	}
@@ -74,10 +82,11 @@
 	return candidate === undefined ? undefined : {member: candidate.member, epoch: 0};
 }
 
-function toRoutingRequest(request: EntryRequest, excluded: ReadonlySet<string>): RoutingRequest {
-	const {service, policy, importance, priority, request: {body}} = request;
+/** The properties of a request that determine its route. */
+export function toRoutingRequest(request: EntryRequest, excluded: ReadonlySet<string>, bodyBytes = request.request.body.length): RoutingRequest {
+	const {service, policy, importance, priority} = request;
 	return {
-		service, kind: policy.kind, importance, priority, excluded, crossRegion: policy.crossRegion ?? importance !== Importance.Low, bodyBytes: body.length,
+		service, kind: policy.kind, importance, priority, excluded, crossRegion: policy.crossRegion ?? importance !== Importance.Low, bodyBytes,
 	};
 }
 
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -6,7 +6,7 @@
 import {allAdmissionMechanisms, AdmissionController} from '../admission/admission-controller.js';
 import type {CancelResult} from '../admission/work.js';
 import type {SendFailure} from '../entry/entry-definition.js';
-import {ErrorKind, Outcome} from '../errors.js';
+import {Outcome} from '../errors.js';
 import {EventType, toEvent, type EventDetails} from '../events/event.js';
 import type {Importance} from '../importance.js';
 import {HybridClock, type HybridTime} from '../events/hybrid-clock.js';
@@ -30,7 +30,7 @@
 import {Router} from '../routing/router.js';
 import type {UpstreamFailure} from '../serving/served-call.js';
 import {CallFlow} from './call-flow.js';
-import {toEntryRequest} from './caller-requests.js';
+import {toEntryRequest, type RequestContext} from './caller-requests.js';
 import {concatenateEffects} from './effect-lists.js';
 import {
 	NodeEffectType, type Announcement, type CallerRequest, type NodeEffect, type Withdrawal,
@@ -40,6 +40,9 @@
 import {MembershipEffects} from './membership-effects.js';
 import type {NodeDefinition} from './node-definition.js';
 import {AtMostOnceEffects} from './at-most-once-effects.js';
+import {
+	ArrivalType, decideArrival, type Arrival, type ArrivalState,
+} from './request-arrival.js';
 import {importanceOf, type RequestTarget} from './request-importance.js';
 import {UpstreamLifecycle} from './upstream-lifecycle.js';
 import {VersionUpdates} from './version-updates.js';
@@ -51,7 +54,7 @@
 const longestCallMilliseconds = 600_000;
 const defaultManifestAgeMilliseconds = 1900;
 
-const stoppingError: CallError = {kind: ErrorKind.Draining, detail: 'The node is stopping and takes no new requests'};
+type ArrivalHandlers = {readonly [Type in Exclude<ArrivalType, ArrivalType.NoManifest>]: (caller: CallerRequest, arrival: Extract<Arrival, {type: Type}>, now: number) => NodeEffect[]};
 
 /**
  * One node. Times are milliseconds on one monotonic clock.
@@ -78,6 +81,18 @@
 	readonly #membershipEffects: MembershipEffects;
 	readonly #lifecycle: UpstreamLifecycle;
 	readonly #versions: VersionUpdates;
+	readonly #arrivalHandlers: ArrivalHandlers = {
+		[ArrivalType.Held]: (caller, _arrival, now) => {
+			this.#manifest.hold(caller, now);
+			return [];
+		},
+		[ArrivalType.Rejected]: (caller, {result: {error, rejectedKind}}) => rejectedKind === undefined
+			? [this.#answerCaller(caller.entryId, Outcome.NotRun, error)]
+			: this.#flow.reject(caller, rejectedKind, error),
+		[ArrivalType.Stopping]: (caller, {result, error}) => [this.#refuseCaller(caller.entryId, result.entryRequest.key, error)],
+		[ArrivalType.Opened]: (_caller, {result}, now) => this.#flow.open(result.entryRequest, result.parentCallId, now),
+	};
+
 	#refusesNewRequests = false;
 	#hasEndedCalls = false;
 	#nextMaintenanceAt = 0;
@@ -197,13 +212,13 @@
 	}
 
 	callerRequested(caller: CallerRequest, now: number): NodeEffect[] {
-		const {current} = this.#manifest;
-		if (current === undefined) {
-			return [this.#refuseCaller(caller.entryId, caller.key, {kind: ErrorKind.NotReady, detail: 'The node has no manifest yet'})];
+		const arrival = decideArrival(this.#arrivalState(caller, {splitSelector: this.#manifest.splitSelector, newActionId: this.#definition.newActionId}, now), now);
+		if (arrival.type === ArrivalType.NoManifest) {
+			return [this.#refuseCaller(caller.entryId, caller.key, arrival.error)];
 		}
 
-		const opened = !this.#hasEndedCalls && this.#manifest.hold(caller, now) ? [] : this.#openCall(caller, current, now);
-		return concatenateEffects(opened, this.#sendQuotas(this.quotas.takeDatagrams(now)));
+		const handler = this.#arrivalHandlers[arrival.type] as (caller: CallerRequest, arrival: Arrival, now: number) => NodeEffect[];
+		return concatenateEffects(handler(caller, arrival, now), this.#sendQuotas(this.quotas.takeDatagrams(now)));
 	}
 
 	callerDisconnected(entryId: number, now: number): NodeEffect[] {
@@ -395,28 +410,22 @@
 		});
 	}
 
-	#openCall(caller: CallerRequest, current: Revision, now: number): NodeEffect[] {
-		const result = toEntryRequest(caller, {
-			manifest: current.manifest,
-			routes: this.#manifest.routes,
-			organisations: this.#manifest.organisations,
-			organisationHeader: this.#definition.organisationHeader,
-			splitSelector: this.#manifest.splitSelector,
-			parentOf: callId => this.#flow.serving.parentOf(callId),
-			parentOfRequest: requestId => this.#flow.serving.parentOfRequest(requestId),
-			newActionId: this.#definition.newActionId,
-		}, now);
-		if (!result.success) {
-			return result.rejectedKind === undefined
-				? [this.#answerCaller(caller.entryId, Outcome.NotRun, result.error)]
-				: this.#flow.reject(caller, result.rejectedKind, result.error);
-		}
-
-		if (this.#hasEndedCalls || (this.#refusesNewRequests && result.parentCallId === undefined)) {
-			return [this.#refuseCaller(caller.entryId, result.entryRequest.key, stoppingError)];
-		}
-
-		return this.#flow.open(result.entryRequest, result.parentCallId, now);
+	/** State by which the arrival of a request is decided. The turn of a split and the action id come from the given sources. */
+	#arrivalState(caller: CallerRequest, sources: Pick<RequestContext, 'splitSelector' | 'newActionId'>, now: number): ArrivalState {
+		return {
+			manifest: this.#manifest,
+			hasEndedCalls: this.#hasEndedCalls,
+			refusesNewRequests: this.#refusesNewRequests,
+			resolve: ({manifest}) => toEntryRequest(caller, {
+				...sources,
+				manifest,
+				routes: this.#manifest.routes,
+				organisations: this.#manifest.organisations,
+				organisationHeader: this.#definition.organisationHeader,
+				parentOf: callId => this.#flow.serving.parentOf(callId),
+				parentOfRequest: requestId => this.#flow.serving.parentOfRequest(requestId),
+			}, now),
+		};
 	}
 
 	#handleMembershipEffects(effects: Parameters<MembershipEffects['translate']>[0], now: number): NodeEffect[] {
--- a/packages/core/src/organisations/quota-account.ts
+++ b/packages/core/src/organisations/quota-account.ts
@@ -55,6 +55,33 @@
 	#carried = 0;
 	#carriedUntil = 0;
 
+	/** An account in the same state, whose changes do not affect this one. */
+	copy(): QuotaAccount {
+		const account = new QuotaAccount();
+		account.#owner = this.#owner;
+		account.#series = this.#series;
+		account.#granted = this.#granted;
+		account.#used = this.#used;
+		account.#returned = this.#returned;
+		account.#rate = this.#rate;
+		account.#waitUntil = this.#waitUntil;
+		account.#askedAt = this.#askedAt;
+		account.#repliedAt = this.#repliedAt;
+		account.#reportedAt = this.#reportedAt;
+		account.#reportAt = this.#reportAt;
+		account.#intervalMilliseconds = this.#intervalMilliseconds;
+		account.#repetitions = this.#repetitions;
+		account.#lowMark = this.#lowMark;
+		account.#stamp = this.#stamp;
+		account.#reportedUsed = this.#reportedUsed;
+		account.#reportedReturned = this.#reportedReturned;
+		account.#lowUntil = this.#lowUntil;
+		account.#unansweredSince = this.#unansweredSince;
+		account.#carried = this.#carried;
+		account.#carriedUntil = this.#carriedUntil;
+		return account;
+	}
+
 	/** Owner's name and incarnation as one text; empty before the first. */
 	get owner(): string {
 		return this.#owner;
--- a/packages/core/src/organisations/quota-coordinator.ts
+++ b/packages/core/src/organisations/quota-coordinator.ts
@@ -11,7 +11,7 @@
 import type {QuotaDecision, QuotaGate} from './quota-gate.js';
 import {splitBySize} from './datagram-size.js';
 import {QuotaMembers} from './quota-members.js';
-import {QuotaMeter} from './quota-meter.js';
+import {QuotaMeter, type QuotaMeterDefinition} from './quota-meter.js';
 import {QuotaOwners} from './quota-owners.js';
 import {overdraftOf, type Quotas} from './quota.js';
 
@@ -50,7 +50,7 @@
  */
 export class QuotaCoordinator implements QuotaGate {
 	readonly #definition: QuotaCoordinatorDefinition;
-	readonly #members = new QuotaMembers();
+	readonly #members: QuotaMembers;
 	readonly #owners: QuotaOwners;
 	readonly #meters = new Map<string, QuotaMeter>();
 	#quotas: Quotas = new Map();
@@ -65,10 +65,11 @@
 	#refused = 0;
 	readonly #notices: QuotaDatagram[] = [];
 
-	constructor(definition: QuotaCoordinatorDefinition) {
+	constructor(definition: QuotaCoordinatorDefinition, members = new QuotaMembers(), owners = new QuotaOwners({members, own: definition.own})) {
 		this.#definition = definition;
 		this.#incarnation = definition.own().incarnation;
-		this.#owners = new QuotaOwners({members: this.#members, own: definition.own});
+		this.#members = members;
+		this.#owners = owners;
 	}
 
 	get counts(): QuotaCounts {
@@ -128,6 +129,21 @@
 		return decision;
 	}
 
+	/**
+	 * A gate that decides on the requests of one organisation as this one would from now on, at the same state and with the
+	 * given random numbers. It has copies of the state, so that its decisions count nothing here.
+	 */
+	preview(organisation: string, random: () => number): QuotaGate {
+		const members = this.#members.copy();
+		const preview = new QuotaCoordinator({...this.#definition, random}, members, this.#owners.copyOf(organisation, members));
+		preview.#quotas = this.#quotas;
+		preview.#incarnation = this.#incarnation;
+		preview.#series = this.#series;
+		preview.#stamp = this.#stamp;
+		[...this.#meters].filter(([name]) => name === organisation).map(([name, meter]) => preview.#meters.set(name, meter.copy(preview.#meterDefinitionOf(name))));
+		return preview;
+	}
+
 	giveBack(organisation: string, now: number): void {
 		const meter = this.#meters.get(organisation);
 		if (meter !== undefined) {
@@ -180,7 +196,14 @@
 	}
 
 	#openMeter(organisation: string, now: number): QuotaMeter {
-		const meter = new QuotaMeter({
+		const meter = new QuotaMeter(this.#meterDefinitionOf(organisation));
+		this.#meters.set(organisation, meter);
+		this.#updateOwners(organisation, meter, now);
+		return meter;
+	}
+
+	#meterDefinitionOf(organisation: string): QuotaMeterDefinition {
+		return {
 			random: this.#definition.random,
 			overdraft: () => overdraftOf(this.#quotas.get(organisation)!, this.#members.count),
 			regularMilliseconds: () => this.#regularMilliseconds,
@@ -189,10 +212,7 @@
 					organisation, part: opened.accounts.indexOf(account), meter: opened, account,
 				}, at);
 			},
-		});
-		this.#meters.set(organisation, meter);
-		this.#updateOwners(organisation, meter, now);
-		return meter;
+		};
 	}
 
 	get #regularMilliseconds(): number {
--- a/packages/core/src/organisations/quota-gate.ts
+++ b/packages/core/src/organisations/quota-gate.ts
@@ -28,4 +28,9 @@
 	admit(organisation: string, now: number): QuotaDecision;
 	/** Returns the count of an admitted request that has not run anywhere and never will. */
 	giveBack(organisation: string, now: number): void;
+	/**
+	 * A gate that decides as this one would, with the given random numbers, and whose decisions have no effect on this one.
+	 * Without it the quota of a request cannot be explained.
+	 */
+	preview?(organisation: string, random: () => number): QuotaGate;
 };
--- a/packages/core/src/organisations/quota-members.ts
+++ b/packages/core/src/organisations/quota-members.ts
@@ -29,6 +29,18 @@
 	readonly #lostAt = new Map<string, number>();
 	#changedAt = -Infinity;
 
+	/** Members in the same state, whose changes do not affect these. */
+	copy(): QuotaMembers {
+		const members = new QuotaMembers();
+		[...this.#choices].map(([key, choice]) => members.#choices.set(key, choice));
+		[...this.#lostAt].map(([name, at]) => members.#lostAt.set(name, at));
+		members.#candidates = this.#candidates;
+		members.#byName = this.#byName;
+		members.#suspected = this.#suspected;
+		members.#changedAt = this.#changedAt;
+		return members;
+	}
+
 	/** Number of members that count in the division of a quota: candidates, and members lost within the last minute. */
 	get count(): number {
 		return this.#candidates.size + this.#lostAt.size;
--- a/packages/core/src/organisations/quota-meter.ts
+++ b/packages/core/src/organisations/quota-meter.ts
@@ -39,7 +39,7 @@
  * const decision = meter.admit(now);
  */
 export class QuotaMeter {
-	readonly accounts: readonly QuotaAccount[] = Array.from({length: ownersPerQuota}, () => new QuotaAccount());
+	readonly accounts: readonly QuotaAccount[];
 	readonly #definition: QuotaMeterDefinition;
 	#asked = 0;
 	#askedAt = -Infinity;
@@ -47,8 +47,19 @@
 	#outstanding = 0;
 	#refusedSinceReply = 0;
 
-	constructor(definition: QuotaMeterDefinition) {
+	constructor(definition: QuotaMeterDefinition, accounts = Array.from({length: ownersPerQuota}, () => new QuotaAccount())) {
 		this.#definition = definition;
+		this.accounts = accounts;
+	}
+
+	/** A meter in the same state, whose changes do not affect this one. */
+	copy(definition: QuotaMeterDefinition): QuotaMeter {
+		const meter = new QuotaMeter(definition, this.accounts.map(account => account.copy()));
+		meter.#asked = this.#asked;
+		meter.#askedAt = this.#askedAt;
+		meter.#outstanding = this.#outstanding;
+		meter.#refusedSinceReply = this.#refusedSinceReply;
+		return meter;
 	}
 
 	/** Requests that asked for admission. */
--- a/packages/core/src/organisations/quota-owner.ts
+++ b/packages/core/src/organisations/quota-owner.ts
@@ -70,6 +70,15 @@
 		this.#add(level);
 	}
 
+	/** An owner in the same state, whose changes do not affect this one. */
+	copy(): QuotaOwner {
+		const owner = new QuotaOwner(this.#bucket, 0, this.#refilledAt);
+		owner.#level = this.#level;
+		owner.#reach = this.#reach;
+		[...this.#accounts].map(([node, account]) => owner.#accounts.set(node, {...account}));
+		return owner;
+	}
+
 	/** Whether the unused tokens, less the requests that nodes have admitted in advance, are few. */
 	get isLow(): boolean {
 		const debts = [...this.#accounts.values()].reduce((sum, {granted, used}) => sum + Math.max(0, used - granted), 0);
--- a/packages/core/src/organisations/quota-owners.ts
+++ b/packages/core/src/organisations/quota-owners.ts
@@ -49,6 +49,17 @@
 		return this.#parts.size;
 	}
 
+	/** The owned parts of one organisation in the same state, whose changes do not affect these. */
+	copyOf(organisation: string, members: QuotaMembers): QuotaOwners {
+		const owners = new QuotaOwners({...this.#definition, members});
+		owners.#quotas = this.#quotas;
+		owners.#added = this.#added;
+		owners.#startedAt = this.#startedAt;
+		[...this.#parts].filter(([, owned]) => owned.organisation === organisation)
+			.map(([key, owned]) => owners.#parts.set(key, {...owned, bucket: owned.bucket.copy()}));
+		return owners;
+	}
+
 	/** @param isFirst - whether the node had no manifest before; other nodes may have granted tokens then */
 	setQuotas(quotas: Quotas, isFirst: boolean, now: number): void {
 		this.#startedAt = isFirst ? now : this.#startedAt;
--- a/packages/core/src/serving/served-work.ts
+++ b/packages/core/src/serving/served-work.ts
@@ -1,12 +1,38 @@
 /**
- * The served calls as work of the own upstream, for cost-aware placement.
+ * The served calls as work: of admission control, and of the own upstream for cost-aware placement.
  *
  * @module
  */
 import type {OpenWork, UpstreamWork, WorkReport} from '../admission/work-left.js';
-import {DispatchOutcome} from '../admission/work.js';
+import {DispatchOutcome, type Work} from '../admission/work.js';
+import {isIdempotent, type RequestPolicy} from '../manifest/request-policy.js';
+import type {CallFrame} from '../messages.js';
 import type {ServedCall} from './served-call.js';
 
+/** The parts of a call that its admission depends on. */
+export type AdmittedFrame = Pick<CallFrame, 'callId' | 'kind' | 'importance' | 'priority' | 'semantics' | 'timeLeftMilliseconds' | 'lastResort'>;
+
+/**
+ * A call that arrives now, as work for admission control.
+ *
+ * @param policy - policy of its request kind; undefined when the manifest has none
+ * @example
+ * toWork(frame, policies.get('catalogue/browse'), now);
+ */
+export function toWork(frame: AdmittedFrame, policy: RequestPolicy | undefined, now: number): Work {
+	return {
+		callId: frame.callId,
+		kind: frame.kind,
+		importance: frame.importance,
+		priority: frame.priority,
+		idempotent: isIdempotent(frame.semantics),
+		deadline: now + frame.timeLeftMilliseconds,
+		arrivedAt: now,
+		guaranteedShare: policy?.guaranteedShare ?? 0,
+		lastResort: frame.lastResort,
+	};
+}
+
 /**
  * Records a call that the upstream has answered. Only complete answers say how long a call works.
  *
--- a/packages/core/src/serving/serving-coordinator.ts
+++ b/packages/core/src/serving/serving-coordinator.ts
@@ -8,10 +8,10 @@
 import type {AdmissionController} from '../admission/admission-controller.js';
 import type {UpstreamWork} from '../admission/work-left.js';
 import {
-	AdmissionEffectType, CancelResult, DispatchOutcome, type AdmissionEffect, type Work,
+	AdmissionEffectType, CancelResult, DispatchOutcome, type AdmissionEffect,
 } from '../admission/work.js';
 import {ErrorKind, Outcome} from '../errors.js';
-import {isIdempotent, type RequestPolicy} from '../manifest/model.js';
+import type {RequestPolicy} from '../manifest/model.js';
 import type {
 	AnswerHead, AnswerPayload, CallError, CallFrame,
 } from '../messages.js';
@@ -22,7 +22,7 @@
 import {
 	ServingEffectType, UpstreamFailure, type ServedCall, type ServingEffect,
 } from './served-call.js';
-import {createWorkReport, recordWork} from './served-work.js';
+import {createWorkReport, recordWork, toWork} from './served-work.js';
 import {dispatchedFailures, notRunFailures, type NotRunFailure} from './upstream-failures.js';
 
 const answeredRetentionMilliseconds = 30_000;
@@ -193,17 +193,7 @@
 	}
 
 	#createCall(frame: CallFrame, now: number): ServedCall {
-		const work: Work = {
-			callId: frame.callId,
-			kind: frame.kind,
-			importance: frame.importance,
-			priority: frame.priority,
-			idempotent: isIdempotent(frame.semantics),
-			deadline: now + frame.timeLeftMilliseconds,
-			arrivedAt: now,
-			guaranteedShare: this.#definition.policyOf(frame.service, frame.kind)?.guaranteedShare ?? 0,
-			lastResort: frame.lastResort,
-		};
+		const work = toWork(frame, this.#definition.policyOf(frame.service, frame.kind), now);
 		return {
 			frame,
 			work,
