Explain in the core where a request would go

NodeCore.explain asks the decisions that serve requests, with random numbers of its own, and describes checks, candidates and choice.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -70,6 +70,8 @@
 export * from './at-most-once/request-digest.js';
 export * from './routing/candidates.js';
 export * from './routing/expected-end.js';
+export * from './routing/explain-request.js';
+export * from './routing/explanation.js';
 export * from './routing/peer-loads.js';
 export * from './routing/rendezvous.js';
 export * from './routing/route-choice.js';
--- a/packages/core/src/node/active-manifest.ts
+++ b/packages/core/src/node/active-manifest.ts
@@ -94,7 +94,12 @@
 
 	/** Whether requests are held now, since a newer revision is expected. */
 	holdsRequests(now: number): boolean {
-		return this.adoption.isBehind && now - this.#behindSince < maximumHoldMilliseconds;
+		return this.holdsFor(now) > 0;
+	}
+
+	/** Milliseconds for which requests are held at most from now on; 0 when they are not. */
+	holdsFor(now: number): number {
+		return this.adoption.isBehind ? Math.max(0, this.#behindSince + maximumHoldMilliseconds - now) : 0;
 	}
 
 	/** Holds a request while a newer revision is expected; returns false when the request must be processed with the active one. */
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -27,6 +27,8 @@
 import {quotasOf} from '../organisations/manifest-quotas.js';
 import type {QuotaMessage} from '../organisations/messages.js';
 import {QuotaCoordinator, type QuotaDatagram} from '../organisations/quota-coordinator.js';
+import {explainRequest, type RequestQuestion} from '../routing/explain-request.js';
+import type {Explanation} from '../routing/explanation.js';
 import {Router} from '../routing/router.js';
 import type {UpstreamFailure} from '../serving/served-call.js';
 import {CallFlow} from './call-flow.js';
@@ -221,6 +223,27 @@
 		return concatenateEffects(handler(caller, arrival, now), this.#sendQuotas(this.quotas.takeDatagrams(now)));
 	}
 
+	/**
+	 * Explains where a caller's request would go now, and why. It has no effect on the node.
+	 *
+	 * @param random - uniformly distributed numbers in [0, 1), other than those of the node's decisions
+	 */
+	explain(question: RequestQuestion, random: () => number, now: number): Explanation {
+		const {splitSelector} = this.#manifest;
+		return explainRequest({
+			own: this.own,
+			members: this.members,
+			memberOf: name => this.#membership.get(name),
+			manifest: this.#manifest,
+			manifestWatch: this.#manifestWatch,
+			router: this.#router,
+			directory: this.#directory,
+			admission: this.#admission,
+			quotaGate: this.#definition.quotaGate ?? this.quotas,
+			arrivalState: (caller, newActionId, at) => this.#arrivalState(caller, {splitSelector: {select: route => splitSelector.peek(route)}, newActionId}, at),
+		}, question, random, now);
+	}
+
 	callerDisconnected(entryId: number, now: number): NodeEffect[] {
 		return this.#flow.handleEntryEffects(this.#flow.entry.callerDisconnected(entryId), now);
 	}
