Explain requests at the node's port for metrics

POST /laburnumspool/v1/explain takes a question of at most 64 KiB and answers with the explanation of the core, after the checks of the callers' port for open requests, body size and memory. It is served at the port of the metrics only: an explanation names nodes and organisations, and the callers' port and the port of health checks answer 404. Control calls are off in the users' deployment, so they could not carry it. Errors name the invalid fields and never their values, one of which is a key.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -70,6 +70,7 @@
 export * from './at-most-once/request-digest.js';
 export * from './routing/candidates.js';
 export * from './routing/expected-end.js';
+export {passedCheck, refusedCheck} from './routing/explain-checks.js';
 export * from './routing/explain-request.js';
 export * from './routing/explanation.js';
 export * from './routing/peer-loads.js';
--- a/packages/core/src/routing/explain-request.ts
+++ b/packages/core/src/routing/explain-request.ts
@@ -9,9 +9,7 @@
 import {arrivalRefusalKinds} from '../admission/arrival-refusal.js';
 import type {Work} from '../admission/work.js';
 import {LocateResultType, type EntryRequest, type LocateResult} from '../entry/entry-call.js';
-import {Outcome, statusOf} from '../errors.js';
 import {frameSemantics, type RequestPolicy} from '../manifest/request-policy.js';
-import type {CallError} from '../messages.js';
 import type {ActiveManifest} from '../node/active-manifest.js';
 import type {RequestResult} from '../node/caller-requests.js';
 import type {CallerRequest} from '../node/effects.js';
@@ -27,6 +25,7 @@
 import type {QuotaGate} from '../organisations/quota-gate.js';
 import {toWork} from '../serving/served-work.js';
 import {explainCandidates} from './explain-candidates.js';
+import {explainArrival, passedCheck, refusedCheck} from './explain-checks.js';
 import {describeChoice} from './explain-choice.js';
 import {
 	CheckResult, EntryCheck, type CheckExplanation, type Explanation, type QuotaExplanation, type RequestExplanation,
@@ -49,6 +48,8 @@
 	readonly caller: CallerRequest;
 	/** Length of the body. */
 	readonly bodyBytes: number;
+	/** Checks that the host makes before the core, none by default. */
+	readonly hostChecks?: readonly CheckExplanation[];
 };
 
 /** Parts of the node that are asked. */
@@ -88,7 +89,8 @@
 	const quotaCheck = accepted === undefined ? undefined : checkQuota(accepted, sourced, now);
 	const ownWork = accepted === undefined ? undefined : toOwnWork(accepted.entryRequest, sources, now);
 	const checks = [
-		...explainArrival(arrival, resolved, sources, now),
+		...question.hostChecks ?? [],
+		...explainArrival(arrival, resolved, sources.manifest, now),
 		...(quotaCheck === undefined ? [] : [quotaCheck]),
 		...(located === undefined ? [] : [explainRoute(located)]),
 		...(located === undefined || ownWork === undefined ? [] : explainOwnUpstream(located, ownWork, sources, now)),
@@ -153,43 +155,22 @@
 		};
 }
 
-function explainArrival(arrival: Arrival, resolved: Arrival, {manifest}: ExplanationSources, now: number): CheckExplanation[] {
-	if (resolved.type === ArrivalType.NoManifest) {
-		return [refused(EntryCheck.Manifest, resolved.error)];
-	}
-
-	const manifestChecks = [
-		passed(EntryCheck.Manifest, `revision ${manifest.adoption.number} is active`),
-		...(arrival.type === ArrivalType.Held
-			? [{check: EntryCheck.Revision, result: CheckResult.Delayed, detail: `held for revision ${manifest.adoption.highestObserved} for at most ${Math.ceil(manifest.holdsFor(now))} ms; what follows is decided by revision ${manifest.adoption.number}`}]
-			: []),
-	];
-	if (resolved.type === ArrivalType.Rejected) {
-		return [...manifestChecks, refused(EntryCheck.Request, resolved.result.error)];
-	}
-
-	const requestCheck = passed(EntryCheck.Request, 'the route, the key and the headers are accepted');
-	return resolved.type === ArrivalType.Stopping
-		? [...manifestChecks, requestCheck, refused(EntryCheck.Stop, resolved.error)]
-		: [...manifestChecks, requestCheck];
-}
-
 function checkQuota({entryRequest: {organisation}, parentCallId}: Accepted, {sources: {quotaGate}, random}: Sourced, now: number): CheckExplanation | undefined {
 	if (organisation === undefined) {
 		return undefined;
 	}
 
 	if (parentCallId !== undefined) {
-		return passed(EntryCheck.Quota, 'calls of upstreams do not count');
+		return passedCheck(EntryCheck.Quota, 'calls of upstreams do not count');
 	}
 
 	const preview = quotaGate.preview?.(organisation, random);
 	if (preview === undefined) {
-		return passed(EntryCheck.Quota, 'the quota gate of the host cannot be asked without an effect');
+		return passedCheck(EntryCheck.Quota, 'the quota gate of the host cannot be asked without an effect');
 	}
 
 	const error = new CountedRequests(preview).admit(0, organisation, now);
-	return error === undefined ? passed(EntryCheck.Quota, 'the quota has room, or there is none') : refused(EntryCheck.Quota, error);
+	return error === undefined ? passedCheck(EntryCheck.Quota, 'the quota has room, or there is none') : refusedCheck(EntryCheck.Quota, error);
 }
 
 function explainOrganisation({entryRequest: {organisation = ''}}: Accepted, sourced: Sourced, now: number): NonNullable<Explanation['organisation']> {
@@ -220,14 +201,14 @@
 
 function explainRoute({result, decision}: Located): CheckExplanation {
 	if (result.type === LocateResultType.Refused) {
-		return refused(EntryCheck.Route, result.error, result.outcome);
+		return refusedCheck(EntryCheck.Route, result.error, result.outcome);
 	}
 
 	if (result.type === LocateResultType.Wait) {
 		return {check: EntryCheck.Route, result: CheckResult.Delayed, detail: 'the primary of the key is not known yet and is looked up again every 50 ms'};
 	}
 
-	return passed(EntryCheck.Route, decision === undefined ? 'the primary of the key is known' : `${decision.steps.admitting?.length} of ${decision.steps.eligible.length} candidates admit the priority`);
+	return passedCheck(EntryCheck.Route, decision === undefined ? 'the primary of the key is known' : `${decision.steps.admitting?.length} of ${decision.steps.eligible.length} candidates admit the priority`);
 }
 
 /** The own upstream is asked as its admission control would be; other nodes are known by their reports only. */
@@ -240,8 +221,8 @@
 	const detail = `${inFlight} of ${capacity} run, ${waiting} wait, overload level ${level}`;
 	const refusal = admission.arrivalRefusal(work, now);
 	return [refusal === undefined
-		? passed(EntryCheck.OwnUpstream, detail)
-		: refused(EntryCheck.OwnUpstream, {kind: arrivalRefusalKinds[refusal], detail: `${refusal}: ${detail}; the call is offered to other nodes`})];
+		? passedCheck(EntryCheck.OwnUpstream, detail)
+		: refusedCheck(EntryCheck.OwnUpstream, {kind: arrivalRefusalKinds[refusal], detail: `${refusal}: ${detail}; the call is offered to other nodes`})];
 }
 
 function toOwnWork(request: EntryRequest, {own, router, manifest}: ExplanationSources, now: number): Work | undefined {
@@ -294,13 +275,3 @@
 function randomActionId(random: () => number): string {
 	return Array.from({length: 32}, () => Math.floor(random() * 16).toString(16)).join('');
 }
-
-function passed(check: EntryCheck, detail: string): CheckExplanation {
-	return {check, result: CheckResult.Passed, detail};
-}
-
-function refused(check: EntryCheck, {kind, detail, retryAfterMilliseconds}: CallError, outcome = Outcome.NotRun): CheckExplanation {
-	return {
-		check, result: CheckResult.Refused, detail, error: {kind, status: statusOf(kind, outcome), ...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds})},
-	};
-}
--- a/packages/node/src/body-reader.ts
+++ b/packages/node/src/body-reader.ts
@@ -132,6 +132,17 @@
 		});
 	}
 
+	/**
+	 * Why a body would be refused before it is read: for its size, and for memory. Errors are absent where it would be read. It
+	 * changes nothing, and does not consider that stalled bodies may give their memory up.
+	 */
+	refusalsOf(bytes: number, maximumBytes: number, importance: Importance): {readonly size: LaburnumspoolError | undefined; readonly memory: LaburnumspoolError | undefined} {
+		return {
+			size: sizeErrorOf(bytes, maximumBytes),
+			memory: this.#definition.budget.hasRoomFor(bytes, importance) ? undefined : this.#memoryError(),
+		};
+	}
+
 	/** Ends the reading of a body whose connection cannot be read further. */
 	abandon(socket: Socket): void {
 		this.#bySocket.get(socket)?.fail(new LaburnumspoolError(ErrorKind.RequestStalled, 'The request did not arrive in time'));
@@ -194,6 +205,10 @@
 
 	#refusal(): LaburnumspoolError {
 		this.#definition.observeLimit(CallerLimit.HeldBytes, this.#describeBudget());
+		return this.#memoryError();
+	}
+
+	#memoryError(): LaburnumspoolError {
 		return new LaburnumspoolError(ErrorKind.Overloaded, `The node has no memory for the body: ${this.#describeBudget()}`);
 	}
 
@@ -204,7 +219,14 @@
 }
 
 function requireWithinLimit(bytes: number, maximumBytes: number): void {
-	if (bytes > maximumBytes) {
-		throw new LaburnumspoolError(ErrorKind.PayloadTooLarge, `The body has at least ${bytes} bytes; at most ${maximumBytes} are accepted`);
+	const error = sizeErrorOf(bytes, maximumBytes);
+	if (error !== undefined) {
+		throw error;
 	}
 }
+
+function sizeErrorOf(bytes: number, maximumBytes: number): LaburnumspoolError | undefined {
+	return bytes > maximumBytes
+		? new LaburnumspoolError(ErrorKind.PayloadTooLarge, `The body has at least ${bytes} bytes; at most ${maximumBytes} are accepted`)
+		: undefined;
+}
--- a/packages/node/src/caller-request.ts
+++ b/packages/node/src/caller-request.ts
@@ -81,7 +81,8 @@
 	};
 }
 
-function splitServicePath(url: string): {service: string; target: string} | undefined {
+/** Service and target of a path that names the service; undefined when it names none. */
+export function splitServicePath(url: string): {service: string; target: string} | undefined {
 	const position = url.indexOf('/', 1);
 	return !url.startsWith('/') || position === -1 ? undefined : {service: url.slice(1, position), target: url.slice(position)};
 }
@@ -97,7 +98,12 @@
 
 	// Node.js keeps only the first of some repeated headers, such as authorization, so the raw headers are counted.
 	const [value = '', ...others] = rawHeaders.filter((_value, index) => index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === name);
-	return others.length > 0 || value.includes(',') ? unusableKey : value;
+	return others.length > 0 ? unusableKey : toOrganisationKey(value);
+}
+
+/** The key in the value of one header. */
+export function toOrganisationKey(value: string): string {
+	return value.includes(',') ? unusableKey : value;
 }
 
 function headerValue(request: IncomingMessage, name: string): string | undefined {
--- a/packages/node/src/callers-server.ts
+++ b/packages/node/src/callers-server.ts
@@ -11,7 +11,7 @@
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
-	ErrorKind, LaburnumspoolError, NodeEffectType, Outcome, type AnswerHead, type CallerAnswer, type CallerLimits, type NodeEffect,
+	EntryCheck, ErrorKind, LaburnumspoolError, NodeEffectType, Outcome, passedCheck, refusedCheck, type AnswerHead, type CallerAnswer, type CallerLimits, type CheckExplanation, type Importance, type NodeEffect,
 } from '@laburnumspool/core';
 import type {AnswerStreams} from './answer-streams.js';
 import {BodyReader, CallerLimit} from './body-reader.js';
@@ -20,7 +20,7 @@
 import {createRequestReader, toRequestTarget, type RequestReader} from './caller-request.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
-	emptyBody, filterHeaders, hasBody, HeaderName, sendClientError, sendProblem,
+	emptyBody, filterHeaders, hasBody, HeaderName, sendClientError, sendProblem, toCallError,
 } from './http-messages.js';
 import type {Logger} from './logs.js';
 import {smallBodyBytes, type MemoryBudget, type Reservation} from './memory-budget.js';
@@ -179,6 +179,17 @@
 		return this.#openRequests.size === 0 && !this.#openRequests.hasUnsentBytes;
 	}
 
+	/** The checks of a request with a body of the given length before it reaches the core. They change nothing. */
+	explainChecks(bodyBytes: number, importance: Importance): CheckExplanation[] {
+		const {size, memory} = this.#bodies.refusalsOf(bodyBytes, this.#maximumBodyBytes, importance);
+		const errors: ReadonlyArray<readonly [EntryCheck, LaburnumspoolError | undefined, string]> = [
+			[EntryCheck.OpenRequests, this.#capacityError(), `${this.#openRequests.size} of ${this.#definition.openRequests} requests are open`],
+			[EntryCheck.BodySize, size, `bodies up to ${this.#maximumBodyBytes} bytes are accepted`],
+			[EntryCheck.Memory, memory, `${this.#definition.budget.heldBytes} of ${this.#definition.budget.totalBytes} bytes are held`],
+		];
+		return errors.map(([check, error, detail]) => error === undefined ? passedCheck(check, detail) : refusedCheck(check, toCallError(error)));
+	}
+
 	/** Applies the limits of a manifest. A limit that it does not set keeps its current value. */
 	setLimits({headerBytes, headerMilliseconds, bodyBytes, idleMilliseconds}: CallerLimits): void {
 		this.#maximumHeaderBytes = headerBytes ?? this.#maximumHeaderBytes;
@@ -284,12 +295,19 @@
 	}
 
 	#requireCapacity(): void {
-		const {openRequests} = this.#definition;
-		if (this.#openRequests.size >= openRequests) {
-			throw new LaburnumspoolError(ErrorKind.Overloaded, `The node has too many open requests: at most ${openRequests} are accepted`);
+		const error = this.#capacityError();
+		if (error !== undefined) {
+			throw error;
 		}
 	}
 
+	#capacityError(): LaburnumspoolError | undefined {
+		const {openRequests} = this.#definition;
+		return this.#openRequests.size >= openRequests
+			? new LaburnumspoolError(ErrorKind.Overloaded, `The node has too many open requests: at most ${openRequests} are accepted`)
+			: undefined;
+	}
+
 	/** Passes a request to the core; returns false when its connection is closed or closing. */
 	#open(request: IncomingMessage, response: ServerResponse, url: string, {bytes, reservation}: RequestBody): boolean {
 		const {socket} = request;
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -26,6 +26,7 @@
 import {PeersClient} from './peers-client.js';
 import {PeersServer} from './peers-server.js';
 import {stopAsPlanned} from './planned-stop.js';
+import {createExplainer} from './questions.js';
 import type {Settings} from './settings.js';
 import {StoreTask} from './store-task.js';
 import {UpstreamClient} from './upstream-client.js';
@@ -151,7 +152,13 @@
 	});
 
 	core.post({type: CoreMessageType.SeedsRead, seeds: settings.seeds.map(seed => parseAddress(seed))});
-	const ownServers = [settings.ports.health, settings.ports.announcements, settings.ports.metrics].flatMap(port => port === undefined ? [] : [{port, server: nodeInterface.createServer()}]);
+	const explain = createExplainer({
+		core: core.core, clock, readsKeys: settings.headers.organisationKey !== undefined, checksOf: (bodyBytes, importance) => callersServer.explainChecks(bodyBytes, importance),
+	});
+	const ownServers = [
+		...[settings.ports.health, settings.ports.announcements].map(port => ({port, createServer: () => nodeInterface.createServer()})),
+		{port: settings.ports.metrics, createServer: () => nodeInterface.createOperatorsServer(explain)},
+	].flatMap(({port, createServer}) => port === undefined ? [] : [{port, server: createServer()}]);
 	await Promise.all([
 		gossip.listen(settings.ports.control, settings.host),
 		peersServer.listen(settings.ports.peers, settings.host),
--- a/packages/node/src/memory-budget.ts
+++ b/packages/node/src/memory-budget.ts
@@ -64,6 +64,11 @@
 		return this.#fits(0, bytes, importance) ? this.#createReservation(bytes, importance) : undefined;
 	}
 
+	/** Whether `reserve` would admit a body at this moment. */
+	hasRoomFor(bytes: number, importance: Importance): boolean {
+		return this.#fits(0, bytes, importance);
+	}
+
 	/** Counts bytes that the node holds already, such as an answer, whether they fit or not. */
 	hold(bytes: number): Reservation {
 		return this.#createReservation(bytes, Importance.Critical);
--- a/packages/node/src/node-interface.ts
+++ b/packages/node/src/node-interface.ts
@@ -6,8 +6,11 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {ErrorKind, isDeadOrLeft, LaburnumspoolError} from '@laburnumspool/core';
+import {
+	ErrorKind, isDeadOrLeft, LaburnumspoolError, type Explanation,
+} from '@laburnumspool/core';
 import {parseAnnouncement} from './announcements.js';
+import {explainPath, maximumQuestionBytes, parseQuestion, type Question} from './questions.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
 	readBody, sendClientError, sendProblem, toCallError,
@@ -54,15 +57,18 @@
 
 	/** Creates a server that offers only this interface, for a port of its own. */
 	createServer(): Server {
-		const server = createServer(async (request, response) => {
-			try {
-				await this.handle(request, response, request.url ?? '/');
-			} catch (error) {
-				sendProblem(response, toCallError(error));
-			}
+		return this.#createServer(async (request, response) => this.handle(request, response, request.url ?? '/'));
+	}
+
+	/**
+	 * Creates a server that also explains requests, for the port of the metrics. Callers reach the other ports: the callers'
+	 * port, and through it `handle`. An explanation names nodes and organisations, which callers must not learn.
+	 */
+	createOperatorsServer(explain: (question: Question) => Explanation): Server {
+		return this.#createServer(async (request, response) => {
+			const isQuestion = request.method === 'POST' && request.url === explainPath;
+			await (isQuestion ? sendExplanation(request, response, explain) : this.handle(request, response, request.url ?? '/'));
 		});
-		server.on('clientError', sendClientError);
-		return server;
 	}
 
 	/** Answers one request; throws `unknown-request-kind` or `malformed`. */
@@ -88,6 +94,18 @@
 		await handler();
 	}
 
+	#createServer(handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>): Server {
+		const server = createServer(async (request, response) => {
+			try {
+				await handle(request, response);
+			} catch (error) {
+				sendProblem(response, toCallError(error));
+			}
+		});
+		server.on('clientError', sendClientError);
+		return server;
+	}
+
 	#sendHealth(response: ServerResponse): void {
 		const {core} = this.#definition.core;
 		const reason = this.#isStopping ? 'The node is stopping' : core.notReadyReason;
@@ -145,6 +163,12 @@
 	}
 }
 
+/** Answers where a request would go. */
+async function sendExplanation(request: IncomingMessage, response: ServerResponse, explain: (question: Question) => Explanation): Promise<void> {
+	const body = await readBody(request, maximumQuestionBytes);
+	sendJson(response, 200, explain(parseQuestion(body.toString('utf8'))));
+}
+
 function sendJson(response: ServerResponse, status: number, body: unknown): void {
 	response.writeHead(status, {'content-type': 'application/json'});
 	response.end(JSON.stringify(body));
