Run the command explain against the demo system

A test asks a node of a small system of real processes by the command, and checks that nothing runs and that the exit codes tell a wrong port, no node and bad usage apart.

--- a/demo/src/tests/processes.test.ts
+++ b/demo/src/tests/processes.test.ts
@@ -3,6 +3,7 @@
 import {test} from 'tap';
 import {request} from 'undici';
 import {runToEnd} from '../processes.js';
+import type {Instance} from '../system.js';
 import {
 	findInstance, manifest, payUntilServed, root, startSmallSystem,
 } from './small-system.js';
@@ -46,3 +47,25 @@
 	t.ok(events.every((event, index) => index === 0 || event.time >= events[index - 1]!.time));
 	t.ok(events.some(event => event.type === 'manifest-adopted') && events.some(event => event.type === 'admitted'));
 });
+
+// Guards against a command that fails outside the test's process, or whose question is served as a request.
+test('the command explain names the node that a request would go to, and the request is not sent', async t => {
+	const system = await startSmallSystem(t);
+	const [node, other] = ['deliveries-0', 'deposits-0'].map(name => findInstance(system, name)) as [Instance, Instance];
+	t.ok(await payUntilServed(node.callersAddress, 'warm'));
+	const countStarted = async (): Promise<number> => {
+		const counters = await Promise.all(system.instances.map(async instance => system.readCounters(instance)));
+		return counters.reduce((sum, {started}) => sum + started, 0);
+	};
+
+	const started = await countStarted();
+	const run = async (...parameters: string[]): Promise<{code: number | null; lines: string[]}> => runToEnd('explain', [join(root, 'packages/explain/dist/main.js'), ...parameters]);
+	const {code, lines} = await run('/deliveries/windows/1', '--node', other.metrics, '--json');
+	t.equal(code, 0, lines.join(' '));
+	const {choice, candidates} = JSON.parse(lines.join('\n')) as {choice: {node: string}; candidates: ReadonlyArray<{node: string}>};
+	t.match(choice.node, /^deliveries-[01]$/u);
+	t.same(candidates.map(candidate => candidate.node).toSorted(), ['deliveries-0', 'deliveries-1']);
+	t.equal(await countStarted(), started, 'nothing ran');
+	const codes = [await run('/deliveries/windows/1', '--node', other.callersAddress), await run('/deliveries/windows/1', '--node', '127.0.0.1:1'), await run('/deliveries/windows/1')];
+	t.same(codes.map(result => result.code), [1, 1, 2], 'another port, no node, bad usage');
+});
--- a/packages/core/src/routing/explain-candidates.ts
+++ b/packages/core/src/routing/explain-candidates.ts
@@ -53,7 +53,7 @@
 	{
 		reason: PassedOver.NotPrimary,
 		applies: (_candidate, {decision}) => decision === undefined,
-		detail: () => 'the primary of the key is not this node',
+		detail: (_candidate, {chosen}) => chosen === undefined ? 'only the primary of the key may serve it, which is not known' : `the primary of the key is ${chosen}`,
 	},
 	{
 		reason: PassedOver.OutsideSubset,
@@ -118,7 +118,10 @@
 	{
 		reason: PassedOver.LessHeadroom,
 		applies: () => true,
-		detail: (_candidate, {chosen, router}, now) => `${chosen} has ${round(router.loads.headroom(chosen ?? '', now))} free slots, and the better or the first of two was taken`,
+		detail({member}, {chosen = '', router: {loads}}, now) {
+			const headroom = loads.headroom(chosen, now);
+			return headroom > loads.headroom(member.name, now) ? `${chosen} has ${round(headroom)} free slots` : `${chosen} has as many free slots and was drawn first`;
+		},
 	},
 ];
 
--- a/packages/core/src/routing/explain-choice.ts
+++ b/packages/core/src/routing/explain-choice.ts
@@ -9,7 +9,9 @@
 import {
 	CheckResult, ChoiceRule, EntryCheck, type CheckExplanation, type ChoiceExplanation,
 } from './explanation.js';
-import {PlacementRule, RoutePool, type RouteDecision, type RoutePick} from './route-choice.js';
+import {
+	PlacementRule, RoutePool, type RouteDecision, type RoutePick,
+} from './route-choice.js';
 
 /** What a choice is described by. */
 export type ChoiceContext = {
@@ -29,7 +31,7 @@
 };
 
 const ruleTexts: Readonly<Record<PlacementRule, string>> = {
-	[PlacementRule.Headroom]: 'more free slots',
+	[PlacementRule.Headroom]: 'more free slots, or as many and was drawn first',
 	[PlacementRule.ExpectedEnd]: 'a sooner expected end',
 	[PlacementRule.LeftNearest]: 'an end that is sooner than at the nearest distance by more than the cost of the distance',
 };
@@ -62,7 +64,7 @@
 
 function describePick(pick: RoutePick): ChoiceExplanation {
 	const {pool, rule, drawnFrom, pair, candidate, leftNearest} = pick;
-	const place = `${poolTexts[pool]} (${distanceNames[candidate.distance]})`;
+	const place = pool === RoutePool.WithoutHeadroom ? poolTexts[pool] : `${poolTexts[pool]} (${distanceNames[candidate.distance]})`;
 	if (drawnFrom.length === 1 && leftNearest === undefined) {
 		return {
 			rule: ChoiceRule.OnlyCandidate, pool, detail: `it is the only one of ${place}`,
--- a/packages/core/src/routing/explain-request.ts
+++ b/packages/core/src/routing/explain-request.ts
@@ -24,7 +24,7 @@
 import {quotasOf} from '../organisations/manifest-quotas.js';
 import type {QuotaGate} from '../organisations/quota-gate.js';
 import {toWork} from '../serving/served-work.js';
-import {explainCandidates} from './explain-candidates.js';
+import {explainCandidates, type CandidatesContext} from './explain-candidates.js';
 import {explainArrival, passedCheck, refusedCheck} from './explain-checks.js';
 import {describeChoice} from './explain-choice.js';
 import {
@@ -95,21 +95,12 @@
 		...(located === undefined ? [] : [explainRoute(located)]),
 		...(located === undefined || ownWork === undefined ? [] : explainOwnUpstream(located, ownWork, sources, now)),
 	];
-	const chosen = located?.result.type === LocateResultType.Found ? located.result.destination.member.name : undefined;
 	return {
 		...explainNode(sources, now),
 		...(accepted === undefined ? {} : {request: explainAccepted(accepted, sourced, now)}),
 		...(accepted?.entryRequest.organisation === undefined ? {} : {organisation: explainOrganisation(accepted, sourced, now)}),
 		checks,
-		candidates: accepted === undefined ? [] : explainCandidates({
-			own: sources.own,
-			router: sources.router,
-			members: sources.members,
-			request: toRoutingRequest(accepted.entryRequest, new Set(), question.bodyBytes),
-			decision: located?.decision,
-			chosen,
-			ownExpectation: ownWork === undefined ? undefined : sources.admission.expectation(ownWork, now),
-		}, now),
+		candidates: accepted === undefined ? [] : explainCandidates(toCandidatesContext(accepted.entryRequest, located, ownWork, sourced, now), now),
 		choice: describeChoice({
 			checks, result: located?.result, decision: located?.decision, draws: accepted === undefined ? [] : drawAgain(accepted.entryRequest, sourced, now),
 		}),
@@ -134,6 +125,19 @@
 	return {result: toLocateResult(request, decision.choice), decision};
 }
 
+function toCandidatesContext(request: EntryRequest, located: Located | undefined, ownWork: Work | undefined, {sources, question}: Sourced, now: number): CandidatesContext {
+	const {own, router, members, admission} = sources;
+	return {
+		own,
+		router,
+		members,
+		request: toRoutingRequest(request, new Set(), question.bodyBytes),
+		decision: located?.decision,
+		chosen: located?.result.type === LocateResultType.Found ? located.result.destination.member.name : undefined,
+		ownExpectation: ownWork === undefined ? undefined : admission.expectation(ownWork, now),
+	};
+}
+
 /** Nodes that the decision about the same request chooses with other random numbers. */
 function drawAgain(request: EntryRequest, sourced: Sourced, now: number): string[] {
 	return Array.from({length: drawCount}, () => locate(request, sourced, now).result)
--- a/packages/explain/src/tests/explain.test.ts
+++ b/packages/explain/src/tests/explain.test.ts
@@ -50,8 +50,14 @@
 	const text = await ask('/orders/7', ['--host', 'h'], '0042\n');
 	const lines = text.split('\n').map(line => line.trim());
 	const expected = [
-		/^node +n1 \(r\/f\), upstream shop ready/u, /^manifest +revision 3/u, /^request +shop\/orders, idempotent, importance critical, priority \d+ \(384 to 511/u,
-		/^organisation +acme, quota of 1 requests\/s, burst 1, room for [1-9]\d* requests/u, /^passed +quota/u, /^passed +own-upstream/u, /^n1 +own-vm .* chosen$/u, /^choice: n1 \(only-candidate\)/u,
+		/^node +n1 \(r\/f\), upstream shop ready/u,
+		/^manifest +revision 3/u,
+		/^request +shop\/orders, idempotent, importance critical, priority \d+ \(384 to 511/u,
+		/^organisation +acme, quota of 1 requests\/s, burst 1, room for [1-9]\d* requests/u,
+		/^passed +quota/u,
+		/^passed +own-upstream/u,
+		/^n1 +own-vm .* chosen$/u,
+		/^choice: n1 \(only-candidate\)/u,
 	];
 	t.same(expected.filter(pattern => !lines.some(line => pattern.test(line))), []);
 	t.notMatch(text, /0042/u);
@@ -80,8 +86,12 @@
 test('the question keeps ids as written, and invalid options are bad usage', async t => {
 	t.match(await readQuestion('/', {timeLeft: 5}, ['--idempotency-key=0042', '--request-id', '1e3'], readNoInput), {idempotencyKey: '0042', requestId: '1e3', timeLeftMilliseconds: 5});
 	const invalid: Array<Parameters<typeof readQuestion>> = [
-		['orders', {}, [], readNoInput], ['/', {timeLeft: -1}, [], readNoInput], ['/', {keyStdin: true}, [], readNoInput],
-		['/', {keyStdin: true}, ['--key-file', 'file'], readNoInput], ['/', {}, ['--key-file', '/nowhere/key'], readNoInput], ['/', {}, ['--host'], readNoInput],
+		['orders', {}, [], readNoInput],
+		['/', {timeLeft: -1}, [], readNoInput],
+		['/', {keyStdin: true}, [], readNoInput],
+		['/', {keyStdin: true}, ['--key-file', 'file'], readNoInput],
+		['/', {}, ['--key-file', '/nowhere/key'], readNoInput],
+		['/', {}, ['--host'], readNoInput],
 	];
 	await Promise.all(invalid.map(async parameters => t.rejects(readQuestion(...parameters), {name: 'LaburnumspoolError', message: /expected|cannot be read/u})));
 });
--- a/packages/node/src/node-interface.ts
+++ b/packages/node/src/node-interface.ts
@@ -10,7 +10,9 @@
 	ErrorKind, isDeadOrLeft, LaburnumspoolError, type Explanation,
 } from '@laburnumspool/core';
 import {parseAnnouncement} from './announcements.js';
-import {explainPath, maximumQuestionBytes, parseQuestion, type Question} from './questions.js';
+import {
+	explainPath, maximumQuestionBytes, parseQuestion, type Question,
+} from './questions.js';
 import {CoreMessageType, type CoreTask} from './core-task.js';
 import {
 	readBody, sendClientError, sendProblem, toCallError,
