--- a/packages/core/src/admission/admission-controller.ts
+++ b/packages/core/src/admission/admission-controller.ts
@@ -8,6 +8,7 @@
 import {Importance, rankOf} from '../importance.js';
 import {AdaptiveLimit} from './adaptive-limit.js';
 import {allAdmissionMechanisms, type AdmissionLoad, type AdmissionMechanisms} from './admission-mechanisms.js';
+import {ArrivalRefusal, arrivalRefusalKinds} from './arrival-refusal.js';
 import {FairShares} from './fair-shares.js';
 import {OverloadLevel} from './overload-level.js';
 import {RoomChecks, type Refusal} from './room-checks.js';
@@ -97,7 +98,7 @@
 	submit(work: Work, now: number): AdmissionEffect[] {
 		const refusal = this.#refusalOnArrival(work, now);
 		if (refusal !== undefined) {
-			return [this.#toRefusal(work, refusal.reason, refusal.isByShare === true, now)];
+			return [this.#toRefusal(work, arrivalRefusalKinds[refusal.cause], refusal.isByShare, now)];
 		}
 
 		this.#queue.add(work);
@@ -159,13 +160,19 @@
 		return [...expired, ...overdue, ...this.#dispatchWaiting(now)];
 	}
 
-	#refusalOnArrival(work: Work, now: number): Refusal | undefined {
-		if (this.#tombstones.has(work.callId)) {
-			return {reason: ErrorKind.Cancelled};
-		}
+	/** Why a call that arrives now would be refused; undefined when it would run or wait. It changes nothing. */
+	arrivalRefusal(work: Work, now: number): ArrivalRefusal | undefined {
+		return this.#findRefusal(work, now)?.cause;
+	}
 
-		if (!this.#isAccepting) {
-			return {reason: ErrorKind.Draining};
+	/** Expected wait for a slot and expected work of a call that arrives now, in milliseconds. It changes nothing. */
+	expectation(work: Work, now: number): {readonly waitMilliseconds: number; readonly costMilliseconds: number} {
+		return {waitMilliseconds: this.#room.expectedWait(work, now), costMilliseconds: this.#serviceTimes.expected(work.kind, now)};
+	}
+
+	#refusalOnArrival(work: Work, now: number): Refusal | undefined {
+		if (this.#tombstones.has(work.callId) || !this.#isAccepting) {
+			return this.#findRefusal(work, now);
 		}
 
 		this.#level.recordArrival(work.priority);
@@ -173,8 +180,25 @@
 			this.shares.arrived(work, this.#room.expectedWork(work, now), now);
 		}
 
+		const refusal = this.#findRefusal(work, now);
+		if (refusal?.cause === ArrivalRefusal.LongWait) {
+			this.#level.recordOutcome(false, work.arrivedAt);
+		}
+
+		return refusal;
+	}
+
+	#findRefusal(work: Work, now: number): Refusal | undefined {
+		if (this.#tombstones.has(work.callId)) {
+			return {cause: ArrivalRefusal.Cancelled, isByShare: false};
+		}
+
+		if (!this.#isAccepting) {
+			return {cause: ArrivalRefusal.Draining, isByShare: false};
+		}
+
 		if (work.deadline <= now || this.#room.willMissDeadline(work, now)) {
-			return {reason: ErrorKind.InsufficientTime};
+			return {cause: ArrivalRefusal.LittleTime, isByShare: false};
 		}
 
 		return this.#room.refusalOf(work, now);
--- a/packages/core/src/admission/room-checks.ts
+++ b/packages/core/src/admission/room-checks.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import {ErrorKind} from '../errors.js';
 import {rankOf} from '../importance.js';
 import type {AdmissionMechanisms} from './admission-mechanisms.js';
+import {ArrivalRefusal} from './arrival-refusal.js';
 import {FairOrder} from './fair-order.js';
 import type {FairShares} from './fair-shares.js';
 import type {OverloadLevel} from './overload-level.js';
@@ -36,14 +36,13 @@
 };
 
 /** Why a call is refused. */
-export type Refusal = {readonly reason: ErrorKind; /** Whether the share of the organisation decided. */ readonly isByShare?: boolean};
+export type Refusal = {readonly cause: ArrivalRefusal; /** Whether the share of the organisation decided. */ readonly isByShare: boolean};
 
 /**
- * Checks for room, with the shares of organisations while calls have one. They record a refusal for a long wait at the
- * overload level, and change nothing else.
+ * Checks for room, with the shares of organisations while calls have one. They change nothing.
  *
  * @example
- * room.refusalOf(work, now); // {reason: ErrorKind.Overloaded, isByShare: false}; undefined when there is room
+ * room.refusalOf(work, now); // {cause: ArrivalRefusal.LongWait, isByShare: false}; undefined when there is room
  */
 export class RoomChecks {
 	readonly #definition: RoomDefinition;
@@ -63,6 +62,12 @@
 		return this.#refusalByLevel(work, now) ?? this.#refusalByWait(work, now) ?? this.#refusalByLength(work, now);
 	}
 
+	/** Expected wait for a slot of a call that arrives, in milliseconds. */
+	expectedWait(work: Work, now: number): number {
+		const {running, capacity, queue} = this.#definition;
+		return running.size < capacity() ? 0 : this.#waitBehind(queue.countAhead(work, this.fairOrder, now));
+	}
+
 	/** The waiting call that has to leave the queue because it is longer than its limit. */
 	displaced(now: number): {readonly work: Work; readonly isByShare: boolean} | undefined {
 		const {queue} = this.#definition;
@@ -106,7 +111,7 @@
 	#refusalByLevel(work: Work, now: number): Refusal | undefined {
 		const level = this.#definition.mechanisms.overloadLevel ? this.#definition.shares.levelOf(work, this.#definition.level.value, now) : 0;
 		return work.priority < level && !this.hasGuaranteedCapacity(work)
-			? {reason: ErrorKind.Overloaded, isByShare: work.priority >= this.#definition.level.value}
+			? {cause: ArrivalRefusal.BelowLevel, isByShare: work.priority >= this.#definition.level.value}
 			: undefined;
 	}
 
@@ -123,8 +128,7 @@
 			return undefined;
 		}
 
-		this.#definition.level.recordOutcome(false, work.arrivedAt);
-		return {reason: ErrorKind.Overloaded, isByShare: order !== undefined && this.#waitBehind(this.#definition.queue.countAhead(work, undefined, now)) <= longestWait};
+		return {cause: ArrivalRefusal.LongWait, isByShare: order !== undefined && this.#waitBehind(this.#definition.queue.countAhead(work, undefined, now)) <= longestWait};
 	}
 
 	#waitBehind(entries: number): number {
@@ -132,7 +136,7 @@
 	}
 
 	#refusalByLength(work: Work, now: number): Refusal | undefined {
-		return this.#definition.queue.length >= this.#queueLimit && !this.#canDisplace(work, now) ? {reason: ErrorKind.Overloaded} : undefined;
+		return this.#definition.queue.length >= this.#queueLimit && !this.#canDisplace(work, now) ? {cause: ArrivalRefusal.FullQueue, isByShare: false} : undefined;
 	}
 
 	#canDisplace(work: Work, now: number): boolean {
