--- a/packages/core/src/admission/share-accounts.ts
+++ b/packages/core/src/admission/share-accounts.ts
@@ -72,27 +72,16 @@
 		return this.#accounts.keys();
 	}
 
-	/** Account of the organisation; a new one is in neither debt nor credit. */
+	/** Account of the organisation; without one a new account, which is in neither debt nor credit and is not stored. */
 	of(organisation: string, now: number): ShareAccount {
-		const known = this.#accounts.get(organisation);
-		if (known !== undefined) {
-			return known;
-		}
-
-		if (this.#accounts.size >= maximumAccounts && organisation !== noOrganisation) {
-			return this.of(noOrganisation, now);
-		}
-
-		const created: ShareAccount = {
+		return this.#accounts.get(this.#nameOf(organisation)) ?? {
 			weight: this.#weightOf(organisation), finish: 0, chargedAt: -Infinity, since: now, demand: 0, use: 0, updatedAt: now,
 		};
-		this.#accounts.set(organisation, created);
-		return created;
 	}
 
 	/** Records the work that a call asks for, whether it is admitted or not. */
 	arrived(organisation: string, work: number, now: number): void {
-		const account = this.of(organisation, now);
+		const account = this.#open(organisation, now);
 		if (now - account.updatedAt > pauseMilliseconds) {
 			account.since = now;
 			account.demand = 0;
@@ -115,7 +104,7 @@
 	 * @param leastStart - smallest start of the organisations that waited, including this one; the virtual time advances to it
 	 */
 	charge(organisation: string, work: number, leastStart: number, now: number): void {
-		const account = this.of(organisation, now);
+		const account = this.#open(organisation, now);
 		account.finish = this.startOf(organisation, now) + (work / account.weight);
 		account.chargedAt = now;
 		decay(account, now);
@@ -149,6 +138,17 @@
 	clear(): void {
 		this.#accounts.clear();
 	}
+
+	#open(organisation: string, now: number): ShareAccount {
+		const account = this.of(organisation, now);
+		this.#accounts.set(this.#nameOf(organisation), account);
+		return account;
+	}
+
+	/** Organisations beyond the limit share the account of calls without an organisation. */
+	#nameOf(organisation: string): string {
+		return this.#accounts.has(organisation) || this.#accounts.size < maximumAccounts ? organisation : noOrganisation;
+	}
 }
 
 /** Work that the organisation asks for at this moment, in milliseconds of a slot per second. */
