--- a/packages/core/src/node/call-flow.ts
+++ b/packages/core/src/node/call-flow.ts
@@ -9,6 +9,7 @@
 import type {AdmissionController} from '../admission/admission-controller.js';
 import {UpstreamWork} from '../admission/work-left.js';
 import type {CancelResult, Work} from '../admission/work.js';
+import {EarlyRefusal} from '../entry/early-refusal.js';
 import {EntryCoordinator} from '../entry/entry-coordinator.js';
 import {EntryEffectType, type EntryEffect, type EntryRequest} from '../entry/entry-call.js';
 import {Outcome} from '../errors.js';
@@ -72,6 +73,8 @@
 	readonly serving: ServingCoordinator;
 	readonly #dependencies: CallFlowDependencies;
 	readonly #countedRequests: CountedRequests;
+	/** Undefined while early refusal is disabled. */
+	readonly #earlyRefusal: EarlyRefusal | undefined;
 	/** Ids of calls that this node sent to itself. */
 	readonly #localCalls = new Set<string>();
 	readonly #parentByEntryId = new Map<number, string>();
@@ -83,6 +86,7 @@
 		[EntryEffectType.AnswerCaller]: ({entryId, answer, request}, now) => this.#answerCaller(entryId, answer, request, now),
 		[EntryEffectType.EndedUnanswered]: ({entryId, outcome}, now) => {
 			this.#countedRequests.ended(entryId, outcome, now);
+			this.#earlyRefusal?.ended(entryId, undefined, now);
 			return [];
 		},
 		[EntryEffectType.StartAnswer]: ({entryId, callId, head}) => [{
@@ -110,13 +114,14 @@
 	constructor(dependencies: CallFlowDependencies) {
 		this.#dependencies = dependencies;
 		this.#countedRequests = new CountedRequests(dependencies.quotaGate);
+		this.#earlyRefusal = dependencies.node.earlyRefusal === true ? new EarlyRefusal(dependencies.node.random) : undefined;
 		this.entry = this.#createEntry();
 		this.serving = this.#createServing();
 	}
 
 	/**
-	 * Opens a call; the parent call is the one on whose behalf the upstream makes it. A caller's request above the quota of
-	 * its organisation is refused.
+	 * Opens a call; the parent call is the one on whose behalf the upstream makes it. A caller's request is refused when it
+	 * most probably fails further down the chain, or when it is above the quota of its organisation.
 	 */
 	open(request: EntryRequest, parentCallId: string | undefined, now: number): NodeEffect[] {
 		const parent = this.serving.parentOf(parentCallId);
@@ -126,12 +131,10 @@
 			this.#recordNestedCall(parent.frame.kind, request);
 		}
 
-		const quotaError = parentCallId === undefined && request.organisation !== undefined
-			? this.#countedRequests.admit(request.entryId, request.organisation, now)
-			: undefined;
-		if (quotaError !== undefined) {
+		const error = parentCallId === undefined ? this.#earlyRefusal?.admit(request, now) ?? this.#quotaError(request, now) : undefined;
+		if (error !== undefined) {
 			return this.#answerCaller(request.entryId, {
-				outcome: Outcome.NotRun, attempts: 0, answer: undefined, error: quotaError,
+				outcome: Outcome.NotRun, attempts: 0, answer: undefined, error,
 			}, request, now);
 		}
 
@@ -168,10 +171,19 @@
 		return flatMapEffects(effects, effect => (this.#servingHandlers[effect.type] as (effect: ServingEffect, now: number) => NodeEffect[])(effect, now));
 	}
 
+	/** Number of requests that were refused early, by `SERVICE/KIND`. */
+	get earlyRefusals(): ReadonlyMap<string, number> {
+		return this.#earlyRefusal?.refusals ?? new Map();
+	}
+
 	get #retryShare(): number {
 		return this.#dependencies.node.retries?.share ?? this.#dependencies.adoption.current?.manifest.retryShare ?? 0;
 	}
 
+	#quotaError({entryId, organisation}: EntryRequest, now: number): CallError | undefined {
+		return organisation === undefined ? undefined : this.#countedRequests.admit(entryId, organisation, now);
+	}
+
 	#createEntry(): EntryCoordinator {
 		const memberOf = (name: string): Member | undefined => this.#dependencies.membership.get(name);
 		return new EntryCoordinator({
@@ -223,6 +235,7 @@
 	#answerCaller(entryId: number, answer: CallerAnswer, request: EntryRequest, now: number): NodeEffect[] {
 		this.#endNestedCall(entryId, now);
 		this.#countedRequests.ended(entryId, answer.outcome, now);
+		this.#earlyRefusal?.ended(entryId, answer, now);
 		const cause = answer.error === undefined ? undefined : this.#answerCause(answer, answer.error);
 		return [this.#requestEvent(EventType.Answered, request, answer.error?.kind ?? answer.outcome, cause), {type: NodeEffectType.AnswerCaller, entryId, answer}];
 	}
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -149,6 +149,11 @@
 		return this.#router.choices;
 	}
 
+	/** Number of requests that were refused early, by `SERVICE/KIND`; empty while early refusal is disabled. */
+	get earlyRefusals(): ReadonlyMap<string, number> {
+		return this.#flow.earlyRefusals;
+	}
+
 	get atMostOnce(): AtMostOnceCoordinator {
 		return this.#atMostOnce;
 	}
--- a/packages/core/src/node/node-definition.ts
+++ b/packages/core/src/node/node-definition.ts
@@ -33,6 +33,8 @@
 	readonly entryMechanisms?: EntryMechanisms;
 	/** Whether serving nodes are chosen by the expected end of calls; false by default. */
 	readonly costAwarePlacement?: boolean;
+	/** Whether callers' requests that most probably fail further down the call chain are refused; false by default. */
+	readonly earlyRefusal?: boolean;
 	/** Largest share of the announced slots that is used; 1 by default. */
 	readonly slotShare?: number;
 	/** Retry budget of each service: its burst, and the retries earned per success when they differ from the manifest's `retryShare`. */
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -288,6 +288,7 @@
 		retries: settings.retries,
 		organisationHeader: settings.headers.organisation,
 		costAwarePlacement: settings.placement.costAware,
+		earlyRefusal: settings.admission.earlyRefusal,
 	};
 }
 
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -70,6 +70,21 @@
 			[...choices].map(([rule, count]) => this.inc({rule}, count));
 		},
 	});
+	let earlyRefusals: NodeCore['earlyRefusals'] = new Map();
+	const earlyRefusalsCounter = new Counter({
+		name: `${metricPrefix}early_refusals_total`,
+		help: 'Requests of callers that were refused because requests of their kind fail further down the call chain',
+		labelNames: ['service', 'kind'],
+		registers: [],
+		collect() {
+			this.reset();
+			[...earlyRefusals].map(([name, count]) => {
+				const separator = name.indexOf('/');
+				this.inc({service: name.slice(0, separator), kind: name.slice(separator + 1)}, count);
+				return name;
+			});
+		},
+	});
 	const gauges = new Gauge({
 		name: `${metricPrefix}state`, help: 'State of the node by name', labelNames: ['name'], registers,
 	});
@@ -105,6 +120,11 @@
 				registry.registerMetric(choicesCounter);
 			}
 
+			if (earlyRefusals.size === 0 && core.earlyRefusals.size > 0) {
+				earlyRefusals = core.earlyRefusals;
+				registry.registerMetric(earlyRefusalsCounter);
+			}
+
 			Object.entries({...gaugeValuesOf(core), held_bytes: heldBytes}).map(([name, value]) => {
 				gauges.set({name}, value);
 				statsd?.gauge(name, value);
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -111,6 +111,8 @@
 		adaptiveLimit: valibot.optional(valibot.boolean(), true),
 		/** Largest used share of the announced slots; upstreams slow down when they are nearly full. */
 		slotShare: valibot.optional(share, 1),
+		/** Whether callers' requests that most probably fail further down the call chain are refused at this node. */
+		earlyRefusal: valibot.optional(valibot.boolean(), false),
 	}), {}),
 	placement: valibot.optional(valibot.strictObject({
 		/** Whether serving nodes are chosen by the expected end of calls, for services whose upstreams report their speed in `headers.load`. */
