Notice a sudden fall of the share of successes by a sequential test

With the decaying share alone, the successes before a trouble delay the first refusal by more than a second at any rate. A CUSUM of 0.1 against 0.45 reacts after about 20 failures, and the half-life is 500 ms instead of 700.

--- a/packages/core/src/entry/success-forecast.ts
+++ b/packages/core/src/entry/success-forecast.ts
@@ -6,10 +6,10 @@
 import {highestPriority} from '../importance.js';
 
 /**
- * Time in which an outcome loses half of its weight. A trouble that starts is noticed after about one half-life; shorter
- * ones leave too little evidence at nodes that receive a few requests of a kind per second.
+ * Time in which an outcome loses half of its weight. The successes before a trouble then count little after a second; with
+ * 700 ms, 5 to 20 % more requests of eight calls failed. A shorter time leaves too little evidence at a few requests per second.
  */
-const halfLifeMilliseconds = 700;
+const halfLifeMilliseconds = 500;
 
 /** Least weight of the outcomes, in requests, on which a kind is refused. */
 const minimumEvidence = 3;
@@ -23,6 +23,15 @@
 /** Standard deviations that the share must be below `lowestShare`, so that a short run of failures does not count. */
 const deviations = 1;
 
+/**
+ * Sequential test (CUSUM) for a share of 0.1 against one of 0.45: the log-likelihood ratio of each outcome, and the sum at
+ * which a kind is refused. It notices a fall after about 20 failures, before the earlier successes have lost their weight. Its
+ * sum rises only at shares below 0.25. With a sum of 6, 14 % of 500 requests/s with a share of 0.45 were refused; with 9, 1 %.
+ */
+const goodEvidence = Math.log(0.1 / 0.45);
+const badEvidence = Math.log(0.9 / 0.55);
+const refusingEvidence = 9;
+
 /** Share of the arrivals that is let through as probes while a kind is refused. With 0.2, 15 % more requests of eight calls failed at 30 entry nodes (trial). */
 const probeShare = 0.1;
 
@@ -78,6 +87,8 @@
 	#refusingSince = 0;
 	#good = 0;
 	#total = 0;
+	/** Sum of the sequential test, at least 0. */
+	#sum = 0;
 	#weighedAt = 0;
 	#running = 0;
 	#lastFailureAt = 0;
@@ -146,6 +157,7 @@
 		this.#weigh(now);
 		this.#total += 1;
 		this.#good += isGood ? 1 : 0;
+		this.#sum = Math.max(0, this.#sum + (isGood ? goodEvidence : badEvidence));
 		this.#lastFailureAt = isGood ? this.#lastFailureAt : now;
 		if (this.#phase === ForecastPhase.Refusing) {
 			if (isGood) {
@@ -160,19 +172,21 @@
 	get #isFailing(): boolean {
 		const failures = this.#total - this.#good;
 		const isReopeningFailing = this.#phase !== ForecastPhase.Open && this.#good === 0 && failures > failuresUntilRefusing - 0.5;
-		return isReopeningFailing || (this.#total >= minimumEvidence && upperShare(this.share, this.#total) < lowestShare);
+		return isReopeningFailing || this.#sum >= refusingEvidence || (this.#total >= minimumEvidence && upperShare(this.share, this.#total) < lowestShare);
 	}
 
 	#weigh(now: number): void {
 		const factor = 0.5 ** ((now - this.#weighedAt) / halfLifeMilliseconds);
 		this.#good *= factor;
 		this.#total *= factor;
+		this.#sum *= factor;
 		this.#weighedAt = now;
 	}
 
 	#startPeriod(phase: ForecastPhase, now: number): void {
 		this.period += 1;
 		this.#running = 0;
+		this.#sum = 0;
 		this.#startPhase(phase, now);
 		if (phase === ForecastPhase.Refusing) {
 			this.#probes = 0;
