--- a/packages/core/src/tests/early-refusal.test.ts
+++ b/packages/core/src/tests/early-refusal.test.ts
@@ -1,4 +1,6 @@
 import {Buffer} from 'node:buffer';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {test} from 'tap';
 import {
 	AnnouncedState, EarlyRefusal, ErrorKind, Importance, NodeCore, NodeEffectType, Outcome, priorityOf, safeParseManifest, Semantics,
@@ -105,8 +107,18 @@
 	t.equal(refusedOf(offer(createRefusal(), 'rare', Importance.Low, {from: 0, count: 100, interval: 700})), 0);
 	t.equal(refusedOf(offer(createRefusal(), 'refused', Importance.Low, {from: 0, count: 500, end: () => notRun})), 0);
 	t.equal(refusedOf(offer(createRefusal(), 'short', Importance.Low, {from: 0, count: 500, timeLeft: 1000})), 0);
-	const mixed = offer(createRefusal(), 'mixed', Importance.Low, {from: 0, count: 2000, end: index => index % 9 < 4 ? good : bad});
-	t.ok(refusedOf(mixed) <= 40, `${refusedOf(mixed)} of 2000 with a share of 0.44`);
+	const generator = xoroshiro128plus(7);
+	const mixed = offer(createRefusal(), 'mixed', Importance.Low, {from: 0, count: 20_000, end: () => uniformFloat64(generator) < 0.45 ? good : bad});
+	t.ok(refusedOf(mixed) <= 400, `${refusedOf(mixed)} of 20,000 with a share of 0.45`);
+});
+
+// Guards against refusals that begin only when the successes of the time before have lost their weight.
+test('a kind with many requests is refused within half a second after all of them begin to fail', async t => {
+	const offers = offer(createRefusal(), 'k', Importance.Normal, {
+		from: 0, count: 1200, interval: 5, end: index => index < 1000 ? good : bad,
+	});
+	t.equal(refusedOf(offers.slice(0, 1000)), 0);
+	t.ok(refusedOf(offers.slice(1100)) >= 80, `${refusedOf(offers.slice(1100))} of 100 after half a second`);
 });
 
 test('a kind that fails lets at most a fifth through, the higher priorities first, and says when to come back', async t => {
