--- a/packages/core/src/tests/explain.test.ts
+++ b/packages/core/src/tests/explain.test.ts
@@ -3,8 +3,8 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {test} from 'tap';
 import {
-	AnnouncedState, CheckResult, ChoiceRule, EntryCheck, ErrorKind, NodeCore, NodeEffectType, Outcome, PassedOver, safeReadManifest, UpstreamState,
-	type CallerRequest, type Explanation, type NodeDefinition, type NodeEffect, type Revision,
+	AnnouncedState, CheckResult, ChoiceRule, EntryCheck, ErrorKind, NodeCore, NodeEffectType, Outcome, PassedOver, rangeCount, safeParseManifest, safeReadManifest, UpstreamState,
+	type CallerRequest, type Explanation, type Manifest, type NodeDefinition, type NodeEffect, type Revision, type VersionedRecord,
 } from '../index.js';
 import {createMember} from './fixtures.js';
 
@@ -201,3 +201,30 @@
 	t.match(candidates.filter(({failureDomain}) => failureDomain === 'far').map(({passedOver}) => passedOver?.reason), [PassedOver.Farther, PassedOver.Farther]);
 	t.match(candidates.find(({node: name}) => name !== choice.node && choice.between?.includes(name))?.passedOver, {reason: PassedOver.LessHeadroom});
 });
+
+// Guards against a question that makes the node pull the record of a key range.
+test('an at-most-once request with a key is explained by the primary of its key, without a pull of the record', async t => {
+	const {manifest} = safeParseManifest({
+		name: 'shop', retriesPerAction: 0, services: {
+			s: {
+				requests: [{
+					kind: 'pay', methods: ['POST'], path: '/pay', importance: 'critical', semantics: 'at-most-once', waitMilliseconds: 1000,
+				}],
+			},
+		},
+	}) as {manifest: Manifest};
+	const node = new NodeCore(definition);
+	node.manifestArrived({number: 1, document: '', manifest}, 0);
+	node.viewArrived(['q', 'r'].map(name => createMember(name)), [], 0);
+	const changes = {service: 's', key: 'k', request: {...createRequest(0).request, method: 'POST', target: '/pay'}};
+	const pulls = (effects: readonly NodeEffect[]): number => effects.filter(({type}) => type === NodeEffectType.PullRecord).length;
+	t.match(explain(node, changes).choice, {rule: ChoiceRule.KeyRangeUnknown, node: undefined});
+	t.equal(pulls(node.advance(200)), 0, 'asking pulls nothing');
+	node.callerRequested(createRequest(1, changes), 300);
+	t.equal(pulls(node.advance(400)), 1, 'the request does');
+	const range = {epoch: 1, primary: {name: 'r', incarnation: 1}, backup: null};
+	node.recordArrived({version: 1, record: {service: 's', ranges: Array.from({length: rangeCount}, () => range)}} as unknown as VersionedRecord, 500);
+	const {choice, candidates} = explain(node, changes, 510);
+	t.match(choice, {rule: ChoiceRule.KeyRange, node: 'r'});
+	t.match(candidates.find(({node: name}) => name === 'q')?.passedOver, {reason: PassedOver.NotPrimary});
+});
