Answer questions about requests from the same VM only

An explanation tells whether a key is valid and names nodes; the port of the metrics has no check of its own, and not all clients are controlled.

--- a/packages/node/src/node-interface.ts
+++ b/packages/node/src/node-interface.ts
@@ -63,13 +63,17 @@
 	}
 
 	/**
-	 * Creates a server that also explains requests, for the port of the metrics. Callers reach the other ports: the callers'
-	 * port, and through it `handle`. An explanation names nodes and organisations, which callers must not learn.
+	 * Creates a server that also explains requests of the same VM, for the port of the metrics. An explanation names nodes and
+	 * organisations, and tells whether a key is valid, which callers must not learn.
 	 */
 	createOperatorsServer(explain: (question: Question) => Explanation): Server {
 		return this.#createServer(async (request, response) => {
-			const isQuestion = request.method === 'POST' && request.url === explainPath;
-			await (isQuestion ? sendExplanation(request, response, explain) : this.handle(request, response, request.url ?? '/'));
+			if (request.method === 'POST' && request.url === explainPath) {
+				this.#requireSameVm(request);
+				await sendExplanation(request, response, explain);
+			} else {
+				await this.handle(request, response, request.url ?? '/');
+			}
 		});
 	}
 
@@ -160,7 +164,7 @@
 	#requireSameVm(request: IncomingMessage): void {
 		const {remoteAddress = ''} = request.socket;
 		if (!loopbackAddresses.has(remoteAddress) && remoteAddress !== this.#definition.host) {
-			throw new LaburnumspoolError(ErrorKind.Malformed, `Expected a request of the upstream on the same VM, got one from ${remoteAddress}`);
+			throw new LaburnumspoolError(ErrorKind.Malformed, `Expected a request from the same VM, got one from ${remoteAddress}`);
 		}
 	}
 }
