--- a/benchmarks/src/process-usage.ts
+++ b/benchmarks/src/process-usage.ts
@@ -30,6 +30,11 @@
 	};
 }
 
+/** Largest resident memory of a process since its start, in megabytes (VmHWM). */
+export function readPeakMegabytes(pid: number): number {
+	return readField(`/proc/${pid}/status`, 'VmHWM') / 1024;
+}
+
 /** Bytes allocated between the first and the last garbage collection in the lines, and the time that all of them took. */
 export function readCollections(lines: readonly string[]): {readonly allocatedBytes: number; readonly milliseconds: number; readonly count: number} {
 	const collections = lines.flatMap(line => {
--- a/demo/src/system.ts
+++ b/demo/src/system.ts
@@ -16,7 +16,7 @@
 } from './processes.js';
 
 const root = fileURLToPath(new URL('../../', import.meta.url));
-const portsPerInstance = 4;
+const portsPerInstance = 5;
 const maximumJoinPolls = 150;
 const joinPollMilliseconds = 100;
 
@@ -54,6 +54,7 @@
 	readonly callersAddress: string;
 	readonly control: string;
 	readonly upstreamAddress: string;
+	readonly metricsAddress: string;
 	readonly settingsFile: string;
 	node: StartedProcess;
 	readonly upstream: StartedProcess;
@@ -131,13 +132,15 @@
 
 async function startInstance(definition: SystemDefinition, plan: InstancePlan): Promise<Instance> {
 	const {service, index, folder, ports} = plan;
-	const [callers, peers, controlPort, upstreamPort] = ports;
+	const [callers, peers, controlPort, upstreamPort, metrics] = ports;
 	const name = `${service.service}-${index}`;
 	const location = definition.locations[index % definition.locations.length]!;
 	const settingsFile = join(folder, `${name}.yaml`);
 	const upstreamFile = join(folder, `${name}-upstream.yaml`);
 	writeFileSync(settingsFile, stringify({
-		name, ...location, host: '127.0.0.1', ports: {callers, peers, control: controlPort}, logLevel: 'info', ...definition.settings, store: {url: plan.storeUrl, ...definition.storeSettings},
+		name, ...location, host: '127.0.0.1', ports: {
+			callers, peers, control: controlPort, metrics,
+		}, logLevel: 'info', ...definition.settings, store: {url: plan.storeUrl, ...definition.storeSettings},
 	}));
 	writeFileSync(upstreamFile, stringify({...service, node: `127.0.0.1:${callers}`}));
 	const node = startNode(name, settingsFile, definition.nodeOptions);
@@ -150,6 +153,7 @@
 		callersAddress: `127.0.0.1:${callers}`,
 		control: `127.0.0.1:${controlPort}`,
 		upstreamAddress: `127.0.0.1:${upstreamPort}`,
+		metricsAddress: `127.0.0.1:${metrics}`,
 		settingsFile,
 		node,
 		upstream,
--- a/scripts/link-copies.js
+++ b/scripts/link-copies.js
@@ -7,6 +7,7 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
+import {countCopies} from '../benchmarks/dist/copy-counter.js';
 
 const dist = '../packages/node/dist';
 const kilobyte = 1024;
@@ -19,42 +20,6 @@
 ];
 const port = 20_471;
 
-let copiedBytes = 0;
-
-/** Counts the bytes that the functions of buffers copy. */
-function countCopies() {
-	const {concat} = Buffer;
-	const {copy, write} = Buffer.prototype;
-	const {set} = Uint8Array.prototype;
-	let isNested = false;
-	const count = (bytes, run) => {
-		copiedBytes += isNested ? 0 : bytes;
-		const wasNested = isNested;
-		isNested = true;
-		try {
-			return run();
-		} finally {
-			isNested = wasNested;
-		}
-	};
-
-	Buffer.concat = (list, ...rest) => count(list.reduce((sum, part) => sum + part.length, 0), () => concat(list, ...rest));
-	Buffer.prototype.copy = function (...parameters) {
-		const result = copy.apply(this, parameters);
-		return count(result, () => result);
-	};
-
-	Buffer.prototype.write = function (...parameters) {
-		const result = write.apply(this, parameters);
-		return count(result, () => result);
-	};
-
-	// eslint-disable-next-line no-extend-native
-	Uint8Array.prototype.set = function (source, offset) {
-		return count(source.length, () => set.call(this, source, offset));
-	};
-}
-
 const residentMegabytes = name => Number(new RegExp(String.raw`${name}:\s+(\d+)`, 'v').exec(readFileSync('/proc/self/status', 'utf8'))[1]) / kilobyte;
 
 class CoreStub {
@@ -149,10 +114,10 @@
 }
 
 async function runChild([role, index]) {
-	countCopies();
+	const readCopiedBytes = countCopies();
 	const actions = {serve, send: async () => send(cases[Number(index)])};
 	process.once('message', () => {
-		process.send({copiedBytes, peak: residentMegabytes('VmHWM')});
+		process.send({copiedBytes: readCopiedBytes(), peak: residentMegabytes('VmHWM')});
 		process.disconnect();
 	});
 	const startedMegabytes = residentMegabytes('VmRSS');
