Add organisations and incomplete bodies to the soak

Cause: the soak played neither organisations, keys and quotas nor callers outside the limits of their bodies. Beside the ordinary callers, others send no key, an unknown key, a key that is withdrawn after a third of the time, and four times a quota; all callers forge the header of the organisation. In both forms six connections at a time send bodies that stop short of their end or arrive in chunks of one byte. New checks with tests of planted violations: denials, quota, organisation seen by the upstream, and nodes that end by themselves.

--- a/demo/src/tests/flood.ts
+++ b/demo/src/flood.ts
@@ -7,7 +7,7 @@
 import {once} from 'node:events';
 import {readdirSync, readFileSync} from 'node:fs';
 import {connect, type Socket} from 'node:net';
-import type {Instance} from '../system.js';
+import type {Instance} from './system.js';
 
 const pieceBytes = 64 * 1024;
 /** Time after which a member that the node neither reads nor closes stops sending. */
--- a/demo/src/run-soak.ts
+++ b/demo/src/run-soak.ts
@@ -10,7 +10,7 @@
 import {cac} from 'cac';
 import {runSoak, type SoakReport} from './soak.js';
 
-type Options = {readonly seed: number; readonly seeds: number; readonly seconds: number; readonly instances: number; readonly keep?: string};
+type Options = {readonly seed: number; readonly seeds: number; readonly seconds: number; readonly instances: number; readonly organisations?: boolean; readonly keep?: string};
 
 const cli = cac('run-soak');
 cli.command('', 'Run soaks of real processes and print the violations')
@@ -18,6 +18,7 @@
 	.option('--seeds <number>', 'Number of seeds', {default: 1})
 	.option('--seconds <number>', 'Seconds of load', {default: 15})
 	.option('--instances <number>', 'Instances of each service', {default: 3})
+	.option('--organisations', 'Use a manifest with organisations, whose keys callers send, in place of one with idempotency keys')
 	.option('--keep <folder>', 'Folder for the reports of seeds with violations')
 	.action(async (options: Options) => {
 		const seeds = Array.from({length: options.seeds}, (_, index) => Number(options.seed) + index);
@@ -39,9 +40,11 @@
 	return await runAll(others, options) + (isClean ? 0 : 1);
 }
 
-async function runOne(seed: number, {seconds, instances, keep}: Options): Promise<boolean> {
+async function runOne(seed: number, {seconds, instances, organisations, keep}: Options): Promise<boolean> {
 	try {
-		const report = await runSoak({seed, seconds, instancesPerService: instances});
+		const report = await runSoak({
+			seed, seconds, instancesPerService: instances, hasOrganisations: organisations === true,
+		});
 		const isClean = report.violations.length === 0;
 		if (keep !== undefined && !isClean) {
 			mkdirSync(keep, {recursive: true});
@@ -56,8 +59,8 @@
 	}
 }
 
-function describe({disruptions, sent, answers, megabytes, violations}: SoakReport): string {
-	const counts = Object.entries(answers).map(([name, count]) => `${name} ${count}`).join(', ');
+function describe({disruptions, sent, answers, identifiedAnswers, megabytes, violations}: SoakReport): string {
+	const counts = Object.entries({...answers, ...identifiedAnswers}).map(([name, count]) => `${name} ${count}`).join(', ');
 	const failed = violations.map(({check, text}) => `\t${check}: ${text}\n`).join('');
 	return `${disruptions.length} disruptions, ${sent} requests (${counts}), ${Math.round(megabytes)} MB, ${violations.length} violations\n${failed}`;
 }
--- a/demo/src/soak-checks.ts
+++ b/demo/src/soak-checks.ts
@@ -7,6 +7,10 @@
 import {
 	lingerMilliseconds, longKind, payment, receipt, stopSeconds,
 } from './soak-kinds.js';
+import {
+	credentialStatuses, findQuotaOverruns, findWrongDenials, findWrongOrganisations,
+} from './soak-organisation-checks.js';
+import type {IdentifiedResult, Withdrawal} from './soak-organisations.js';
 import {behindClosingAnswer} from './soak-pipelines.js';
 import {DisruptionType} from './soak-plan.js';
 
@@ -44,6 +48,16 @@
 	/** Peak resident memory of the nodes' processes. */
 	readonly memory: ReadonlyArray<{readonly entry: string; readonly megabytes: number}>;
 	readonly retriesPerAction: number;
+	/** Whether the manifest has organisations. */
+	readonly hasOrganisations: boolean;
+	/** Results of the callers that send other keys than the ordinary ones; not part of `results`. */
+	readonly identified: readonly IdentifiedResult[];
+	/** Undefined until the manifest without the key was accepted. */
+	readonly withdrawal: Withdrawal | undefined;
+	/** Headers that the upstream of each instance has recorded, by request. */
+	readonly recordedHeaders: ReadonlyMap<string, ReadonlyMap<string, readonly string[]>>;
+	/** Nodes whose process ended without being stopped or killed. */
+	readonly ended: readonly string[];
 };
 
 /** Statuses of errors that the nodes create themselves; a soak sends no invalid requests. */
@@ -82,6 +96,10 @@
 	Departure = 'a leaving upstream gets nothing new',
 	Memory = 'the memory of the nodes is bounded',
 	Recovery = 'service recovers by itself soon after the last fault',
+	Denial = 'a request without a valid key is answered 401 and never runs',
+	Quota = 'an organisation stays within its quota',
+	Organisation = 'upstreams are told the organisation of the key, and never the key',
+	Liveness = 'a node ends only when it is stopped or killed',
 	Shipment = 'the operators\' command says what became of a shipment',
 }
 
@@ -108,8 +126,15 @@
 	[Check.PlannedStop, findFailedStops],
 	[Check.Departure, findStartsAfterDrain],
 	[Check.Memory, findExcessMemory],
+	[Check.Denial, findWrongDenials],
+	[Check.Quota, findQuotaOverruns],
+	[Check.Organisation, findWrongOrganisations],
+	[Check.Liveness, ({ended}) => ended.map(entry => `the node of ${entry} ended by itself`)],
 ];
 
+/** Checks of the callers with other keys, whose statuses `findWrongDenials` checks. */
+const identifiedChecks = resultChecks.filter(([check]) => check !== Check.KnownStatus && check !== Check.InForce);
+
 /**
  * Returns every violation that the record shows.
  *
@@ -117,10 +142,15 @@
  * findViolations(record); // [{check: Check.NotRun, text: 's1-7 was reported as not run, but ran 1 times: ...'}]
  */
 export function findViolations(record: SoakRecord): Violation[] {
-	const {results, runs} = record;
+	const {results, runs, identified} = record;
+	const otherStatuses = identified.filter(({status}) => !credentialStatuses.has(status));
 	const runsOf = ({id, kind}: SoakResult): number => runs.get(`${kind.service}/${id}`) ?? 0;
+	const checkAll = (checks: typeof resultChecks, checked: readonly SoakResult[]): Violation[] =>
+		checks.flatMap(([check, checkResult]) => checked.flatMap(result => checkResult(result, runsOf(result), record)).map(text => ({check, text})));
 	return [
-		...resultChecks.flatMap(([check, checkResult]) => results.flatMap(result => checkResult(result, runsOf(result), record)).map(text => ({check, text}))),
+		...checkAll(resultChecks, results),
+		...checkAll(identifiedChecks, identified),
+		...checkAll([[Check.KnownStatus, checkStatus], [Check.InForce, checkManifestActive]], otherStatuses),
 		...recordChecks.flatMap(([check, checkRecord]) => checkRecord(record).map(text => ({check, text}))),
 	];
 }
--- a/demo/src/soak-clients.ts
+++ b/demo/src/soak-clients.ts
@@ -6,6 +6,7 @@
 import {Agent, request as sendRequest, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import type {SoakKind} from './soak-kinds.js';
+import {ordinaryHeaders} from './soak-organisations.js';
 
 /** When in a soak a request is sent. */
 export enum SoakPhase {
@@ -31,6 +32,7 @@
 	readonly body: string;
 	/** Error code or message; undefined when there is an answer. */
 	readonly failure: string | undefined;
+	readonly retryAfter?: string | undefined;
 };
 
 /** A request and its end; times as of `performance.now()`. */
@@ -79,10 +81,10 @@
 		[this.#host = '', this.#port = ''] = address.split(':');
 	}
 
-	/** Sends a request and records its end; never rejects. */
-	async send(id: string, kind: SoakKind, phase: SoakPhase): Promise<SoakResult> {
+	/** Sends a request, by default with the key of the ordinary organisation, and records its end; never rejects. */
+	async send(id: string, kind: SoakKind, phase: SoakPhase, headers = ordinaryHeaders): Promise<SoakResult> {
 		const sentAt = performance.now();
-		const exchange = await this.#exchange(id, kind);
+		const exchange = await this.#exchange(id, kind, headers);
 		const result: SoakResult = {
 			...exchange, id, kind, phase, entry: this.#entry, sentAt, endedAt: performance.now(),
 		};
@@ -94,7 +96,7 @@
 		this.#agent.destroy();
 	}
 
-	async #exchange(id: string, {service, method, path, isKeyed}: SoakKind): Promise<SoakAnswer & Pick<SoakResult, 'writtenAt' | 'isReused'>> {
+	async #exchange(id: string, {service, method, path, isKeyed}: SoakKind, headers: Readonly<Record<string, string>>): Promise<SoakAnswer & Pick<SoakResult, 'writtenAt' | 'isReused'>> {
 		return new Promise(resolve => {
 			let writtenAt: number | undefined;
 			let isReused = false;
@@ -104,7 +106,7 @@
 				method,
 				path: `/${service}${path}`,
 				agent: this.#agent,
-				headers: {'x-request-id': id, ...(isKeyed ? {'idempotency-key': id} : {})},
+				headers: {...headers, 'x-request-id': id, ...(isKeyed ? {'idempotency-key': id} : {})},
 			});
 			const end = (answer: SoakAnswer): void => {
 				clearTimeout(timer);
@@ -153,6 +155,6 @@
 	};
 
 	return {
-		status: response.statusCode, outcome: read('laburnumspool-outcome'), signature: read('x-signature'), answeredId: read('x-request-id'), body: chunks.join(''), failure: undefined,
+		status: response.statusCode, outcome: read('laburnumspool-outcome'), signature: read('x-signature'), answeredId: read('x-request-id'), body: chunks.join(''), failure: undefined, retryAfter: read('retry-after'),
 	};
 }
--- a/demo/src/soak-disruptions.ts
+++ b/demo/src/soak-disruptions.ts
@@ -15,6 +15,7 @@
 } from './soak-checks.js';
 import {SoakPhase, type SoakResult} from './soak-clients.js';
 import {services, writeManifest} from './soak-kinds.js';
+import type {Withdrawal} from './soak-organisations.js';
 import {attendStop} from './soak-pipelines.js';
 import {DisruptionType, type Disruption} from './soak-plan.js';
 import {startNode, type Instance, type System} from './system.js';
@@ -29,17 +30,21 @@
 const kilobytesPerMegabyte = 1024;
 const outcomeUnknownExitCode = 4;
 const nodesInSeries = 3;
+const maximumWithdrawalShipments = 10;
 
 /** How a node is stopped; the signal is sent as a second one after the duration. */
 type PlannedStop = {readonly isLong?: boolean; readonly signal?: NodeJS.Signals; readonly milliseconds?: number};
 
+/** Where the versions of the manifest are written, and their form. */
+export type ManifestSource = {readonly folder: string; readonly hasOrganisations: boolean};
+
 type ControlBody = Readonly<Record<string, unknown>>;
 
 /**
  * Disruptions of one system.
  *
  * @example
- * const disruptions = new SoakDisruptions(system, folder, async milliseconds => sendBurst(milliseconds));
+ * const disruptions = new SoakDisruptions(system, {folder, hasOrganisations: false}, async milliseconds => sendBurst(milliseconds));
  * await disruptions.carryOut(disruption);
  */
 export class SoakDisruptions {
@@ -50,29 +55,36 @@
 	readonly storeOutages: Array<{startedAt: number; endedAt: number}> = [];
 	readonly drains: UpstreamDrain[] = [];
 	readonly memory: Array<{entry: string; megabytes: number}> = [];
+	withdrawal: Withdrawal | undefined;
+	/** Nodes whose process had ended when it was to be disrupted, or at the end of the soak. */
+	readonly ended: string[] = [];
 	/** Shipments that ended with an unexpected exit code. */
 	readonly failedShipments: string[] = [];
 	/** Log lines of processes that have exited. */
 	readonly #earlierLines: string[] = [];
 	readonly #system: System;
 	readonly #folder: string;
+	readonly #hasOrganisations: boolean;
 	readonly #sendBurst: (milliseconds: number) => Promise<void>;
 	/** Instances whose node is stopped, killed or frozen, and not ready again yet. */
 	readonly #disrupted = new Set<Instance>();
 	readonly #draining = new Set<Instance>();
 	#shipping = Promise.resolve();
+	#withdrawalStartedAt: number | undefined;
 	#lastVersion = 1;
 
-	constructor(system: System, folder: string, sendBurst: (milliseconds: number) => Promise<void>) {
+	/** @param folder - for the versions of the manifest */
+	constructor(system: System, {folder, hasOrganisations}: ManifestSource, sendBurst: (milliseconds: number) => Promise<void>) {
 		this.#system = system;
 		this.#folder = folder;
+		this.#hasOrganisations = hasOrganisations;
 		this.#sendBurst = sendBurst;
 	}
 
-	get record(): Pick<SoakRecord, 'nodeDisruptions' | 'versions' | 'storeOutages' | 'drains' | 'memory'> {
-		const {nodeDisruptions, versions, storeOutages, drains, memory} = this;
+	get record(): Pick<SoakRecord, 'nodeDisruptions' | 'versions' | 'storeOutages' | 'drains' | 'memory' | 'withdrawal' | 'ended'> {
+		const {nodeDisruptions, versions, storeOutages, drains, memory, withdrawal, ended} = this;
 		return {
-			nodeDisruptions, versions, storeOutages, drains, memory,
+			nodeDisruptions, versions, storeOutages, drains, memory, withdrawal, ended,
 		};
 	}
 
@@ -112,12 +124,24 @@
 		await this.#stopNode(instance, SoakPhase.RollingRestart, {});
 	}
 
-	/** Records the peak resident memory of the running processes. */
+	/** Ships versions without the withdrawn key until one of them is accepted, but no more than ten. */
+	async withdrawKey(): Promise<void> {
+		this.#withdrawalStartedAt = performance.now();
+		for (let shipments = 0; this.withdrawal === undefined && shipments < maximumWithdrawalShipments; shipments += 1) {
+			await this.#ship(); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	/** Records the peak resident memory of the running processes, and which ones have ended. */
 	recordMemory(): void {
 		this.#system.instances.map(instance => this.#recordMemoryOf(instance));
 	}
 
 	#recordMemoryOf({name, node}: Instance): number {
+		if (node.child.exitCode !== null || node.child.signalCode !== null) {
+			return this.ended.push(name);
+		}
+
 		const status = readFileSync(join('/proc', String(node.child.pid), 'status'), 'utf8');
 		return this.memory.push({entry: name, megabytes: Number(/^VmHWM:\s+(\d+) kB$/mu.exec(status)?.[1]) / kilobytesPerMegabyte});
 	}
@@ -187,9 +211,13 @@
 		this.#shipping = this.#shipping.then(async () => {
 			this.#lastVersion += 1;
 			const version = this.#lastVersion;
-			const {code, lines} = await runToEnd('ship', [manifestCommand, 'ship', writeManifest(this.#folder, version), '--store', this.#system.storeUrl]);
+			const withdrawalStartedAt = this.#withdrawalStartedAt;
+			const manifest = writeManifest(this.#folder, version, {hasOrganisations: this.#hasOrganisations, isKeyWithdrawn: withdrawalStartedAt !== undefined});
+			const {code, lines} = await runToEnd('ship', [manifestCommand, 'ship', manifest, '--store', this.#system.storeUrl]);
 			if (code === 0) {
-				this.versions.push({version, acceptedAt: performance.now()});
+				const acceptedAt = performance.now();
+				this.versions.push({version, acceptedAt});
+				this.withdrawal ??= withdrawalStartedAt === undefined ? undefined : {startedAt: withdrawalStartedAt, acceptedAt};
 			} else if (code !== outcomeUnknownExitCode) {
 				this.failedShipments.push(`the shipment of version ${version} ended with exit code ${code}: ${lines.join(' ')}`);
 			}
--- a/demo/src/soak-pipelines.ts
+++ b/demo/src/soak-pipelines.ts
@@ -15,6 +15,7 @@
 import {
 	longKind, slowKinds, windows, type SoakKind,
 } from './soak-kinds.js';
+import {ordinaryHeaders} from './soak-organisations.js';
 import type {Instance} from './system.js';
 
 /** Failure of a request that was sent behind another one whose answer announced that it closes the connection. */
@@ -102,7 +103,7 @@
 			let writtenAt: number | undefined;
 			let head: SoakAnswer = noAnswer;
 			this.#client.dispatch({
-				method, path: `/${service}${path}`, headers: {'x-request-id': id}, idempotent: true, blocking: false,
+				method, path: `/${service}${path}`, headers: {...ordinaryHeaders, 'x-request-id': id}, idempotent: true, blocking: false,
 			}, {
 				onRequestStart() {
 					writtenAt = performance.now();
--- a/demo/src/soak.ts
+++ b/demo/src/soak.ts
@@ -15,9 +15,13 @@
 } from './soak-checks.js';
 import {SoakCallers, SoakPhase, type SoakResult} from './soak-clients.js';
 import {SoakDisruptions} from './soak-disruptions.js';
+import {sendIncompleteBodies} from './soak-incomplete-bodies.js';
 import {
 	kindOfVersion, lingerMilliseconds, payment, receipt, retriesPerAction, services, stopSeconds, windows, writeManifest, type SoakKind,
 } from './soak-kinds.js';
+import {
+	IdentifiedCallers, organisationHeaders, type IdentifiedResult,
+} from './soak-organisations.js';
 import {planDisruptions, type Disruption} from './soak-plan.js';
 import {startSystem, type Instance, type System} from './system.js';
 
@@ -47,13 +51,18 @@
 	logFormat: 'json',
 	stopSeconds,
 	membership: {probeMilliseconds: 200, suspicionMilliseconds: 600},
-	headers: {requestId: 'x-request-id', signature: 'x-signature'},
+	headers: {requestId: 'x-request-id', signature: 'x-signature', ...organisationHeaders},
 };
 
 export type SoakDefinition = {
 	readonly seed: number;
 	readonly seconds: number;
 	readonly instancesPerService: number;
+	/**
+	 * Whether the manifest has routes and organisations, with which callers send keys of organisations. Otherwise it declares
+	 * services, and payments have idempotency keys, which manifests of routes do not know.
+	 */
+	readonly hasOrganisations?: boolean;
 };
 
 /** Results of a soak. */
@@ -62,6 +71,9 @@
 	readonly sent: number;
 	/** Requests by status and outcome. */
 	readonly answers: Readonly<Record<string, number>>;
+	/** Requests of the callers with other keys by status and credential. */
+	readonly identifiedAnswers: Readonly<Record<string, number>>;
+	readonly identified: readonly IdentifiedResult[];
 	/** Peak resident memory of any node's process. */
 	readonly megabytes: number;
 	readonly violations: readonly Violation[];
@@ -89,7 +101,7 @@
 	const folder = mkdtempSync(join(tmpdir(), 'laburnumspool-soak-'));
 	const system = await startSystem({
 		services,
-		manifest: writeManifest(folder, 1),
+		manifest: writeManifest(folder, 1, {hasOrganisations: definition.hasOrganisations === true, isKeyWithdrawn: false}),
 		instancesPerService: definition.instancesPerService,
 		locations: [{region: 'lake-erie', failureDomain: 'erie-a'}, {region: 'lake-erie', failureDomain: 'erie-b'}],
 		settings,
@@ -108,6 +120,7 @@
 	readonly #system: System;
 	readonly #definition: SoakDefinition;
 	readonly #callers: Map<string, SoakCallers>;
+	readonly #identifiedCallers: IdentifiedCallers;
 	readonly #disruptions: SoakDisruptions;
 	readonly #random: () => number;
 
@@ -116,29 +129,37 @@
 		this.#definition = definition;
 		this.#random = seededRandom(definition.seed + 1);
 		this.#callers = new Map(system.instances.map(({name, callersAddress}) => [name, new SoakCallers(name, callersAddress)]));
-		this.#disruptions = new SoakDisruptions(system, folder, async milliseconds => this.#sendBurst(SoakPhase.Faults, milliseconds));
+		this.#identifiedCallers = new IdentifiedCallers(system.instances);
+		this.#disruptions = new SoakDisruptions(system, {folder, hasOrganisations: definition.hasOrganisations === true}, async milliseconds => this.#sendBurst(SoakPhase.Faults, milliseconds));
 	}
 
 	async run(): Promise<SoakReport> {
 		const {seed, seconds} = this.#definition;
 		const planned = planDisruptions(seed, seconds * 1000);
-		await Promise.all([this.#sendMixed(SoakPhase.Faults, seconds * 1000, requestsPerSecond), ...planned.map(async disruption => {
+		const ending = new AbortController();
+		const besideEnded = this.#sendBeside(ending.signal);
+		const withdrawn = this.#withdrawKey(seconds * 1000 / 3);
+		await Promise.all([this.#sendMixed(SoakPhase.Faults, seconds * 1000, requestsPerSecond), withdrawn, ...planned.map(async disruption => {
 			await delay(disruption.at);
 			await this.#disruptions.carryOut(disruption);
 		})]);
 		const unserved = await this.#findUnserved();
 		await this.#sendBurst(SoakPhase.Burst, burstMilliseconds);
 		await this.#restartOneByOne();
+		ending.abort();
+		await besideEnded;
 		await delay(settleMilliseconds);
 		this.#disruptions.recordMemory();
 		const {record, failedShipments} = this.#disruptions;
 		const results = [...[...this.#callers.values()].flatMap(callers => callers.results), ...this.#disruptions.results];
 		const violations = findViolations({
-			...record, ...await this.#readRuns(), results, retriesPerAction,
+			...record, ...await this.#readRuns(), results, retriesPerAction, identified: this.#identifiedCallers.results, hasOrganisations: this.#hasOrganisations,
 		});
 		return {
 			disruptions: planned,
 			sent: results.length,
+			identifiedAnswers: countAnswers(this.#identifiedCallers.results.map(result => ({...result, outcome: result.credential}))),
+			identified: this.#identifiedCallers.results,
 			answers: countAnswers(results),
 			megabytes: Math.max(...record.memory.map(({megabytes}) => megabytes)),
 			violations: [
@@ -152,13 +173,33 @@
 		};
 	}
 
+	get #hasOrganisations(): boolean {
+		return this.#definition.hasOrganisations === true;
+	}
+
 	close(): void {
+		this.#identifiedCallers.close();
 		[...this.#callers.values()].map(callers => {
 			callers.close();
 			return callers;
 		});
 	}
 
+	/** Sends requests with other keys than the ordinary callers, and incomplete bodies, until the signal is aborted. */
+	async #sendBeside(signal: AbortSignal): Promise<void> {
+		await Promise.all([
+			this.#hasOrganisations ? this.#identifiedCallers.sendUntil(signal, windows, SoakPhase.Faults) : undefined,
+			sendIncompleteBodies(this.#system.instances, signal),
+		]);
+	}
+
+	async #withdrawKey(milliseconds: number): Promise<void> {
+		if (this.#hasOrganisations) {
+			await delay(milliseconds);
+			await this.#disruptions.withdrawKey();
+		}
+	}
+
 	async #sendMixed(phase: SoakPhase, milliseconds: number, perSecond: number): Promise<void> {
 		await this.#sendLoad({
 			phase, milliseconds, perSecond, kinds: [() => payment, () => payment, () => windows, () => receipt, () => this.#latestKind()],
@@ -207,11 +248,11 @@
 		}));
 	}
 
-	/** Sends a request; retries a payment with the same key while its outcome is unknown. */
+	/** Sends a request; retries a payment with the same key while its outcome is unknown, where keys have an effect. */
 	async #send(entry: Instance, kind: SoakKind, phase: SoakPhase, id = newKey(), retriesLeft = maximumPaymentRetries): Promise<SoakResult> {
 		const result = await this.#callers.get(entry.name)!.send(id, kind, phase);
 		const isOutcomeUnknown = result.status === undefined || result.outcome === 'unknown';
-		if (!kind.isKeyed || !isOutcomeUnknown || retriesLeft === 0) {
+		if (!kind.isKeyed || this.#hasOrganisations || !isOutcomeUnknown || retriesLeft === 0) {
 			return result;
 		}
 
@@ -254,20 +295,28 @@
 	}
 
 	/** Reads from the upstreams which requests each has started, and how often. */
-	async #readRuns(): Promise<Pick<SoakRecord, 'runs' | 'instanceRuns'>> {
+	async #readRuns(): Promise<Pick<SoakRecord, 'runs' | 'instanceRuns' | 'recordedHeaders'>> {
+		const read = async (address: string, path: string): Promise<unknown> => {
+			const answer = await request(`http://${address}/control/${path}`, {method: 'POST'});
+			return answer.body.json();
+		};
+
 		const counts = await Promise.all(this.#system.instances.map(async ({name, service, upstreamAddress}) => {
-			const answer = await request(`http://${upstreamAddress}/control/requests`, {method: 'POST'});
-			return {name, service, byRequest: Object.entries(await answer.body.json() as Record<string, number>)};
+			const [byRequest, headers] = await Promise.all([read(upstreamAddress, 'requests'), read(upstreamAddress, 'headers')]);
+			return {
+				name, service, byRequest: Object.entries(byRequest as Record<string, number>), headers: Object.entries(headers as Record<string, string[]>),
+			};
 		}));
 		const all = counts.flatMap(({service, byRequest}) => byRequest.map(([id, count]) => ({key: `${service}/${id}`, count})));
 		return {
 			runs: all.reduce((runs, {key, count}) => runs.set(key, (runs.get(key) ?? 0) + count), new Map<string, number>()),
+			recordedHeaders: new Map(counts.map(({name, headers}) => [name, new Map(headers)])),
 			instanceRuns: new Map(counts.map(({name, byRequest}) => [name, new Set(byRequest.map(([id]) => id))])),
 		};
 	}
 }
 
-function countAnswers(results: readonly SoakResult[]): Record<string, number> {
+function countAnswers(results: ReadonlyArray<Pick<SoakResult, 'status' | 'outcome'>>): Record<string, number> {
 	const names = results.map(({status, outcome}) => `${status ?? 'none'} ${outcome ?? ''}`.trim()).toSorted((left, right) => left.localeCompare(right));
 	return names.reduce<Record<string, number>>((counts, name) => ({...counts, [name]: (counts[name] ?? 0) + 1}), {});
 }
--- a/demo/src/system.ts
+++ b/demo/src/system.ts
@@ -30,6 +30,8 @@
 		readonly bodyBytes?: number;
 		readonly calls?: ReadonlyArray<{readonly method: string; readonly service: string; readonly path: string}>;
 	}>;
+	/** Headers of requests that the upstreams record, as a regular expression for `NAME: VALUE`. */
+	readonly recordedHeaders?: string;
 };
 
 export type SystemDefinition = {
--- a/demo/src/tests/client-floods.test.ts
+++ b/demo/src/tests/client-floods.test.ts
@@ -9,7 +9,7 @@
 import {startSystem, type Instance, type System} from '../system.js';
 import {
 	inChunks, inPieces, readProcess, startFlood, whole, type FloodRequest,
-} from './flood.js';
+} from '../flood.js';
 
 // Guards against callers outside the limits that make a node end, hang or exceed its memory. The flood and the bounds were
 // fixed on the code without a budget for bodies and are not to be changed.
--- a/demo/src/tests/soak-checks.test.ts
+++ b/demo/src/tests/soak-checks.test.ts
@@ -37,7 +37,8 @@
 
 function record(changes: Partial<SoakRecord>): SoakRecord {
 	return {
-		results: [], nodeDisruptions: [], runs: new Map(), instanceRuns: new Map(), versions: [{version: 1, acceptedAt: 0}], storeOutages: [], drains: [], memory: [], retriesPerAction: 3, ...changes,
+		results: [], nodeDisruptions: [], runs: new Map(), instanceRuns: new Map(), versions: [{version: 1, acceptedAt: 0}], storeOutages: [], drains: [], memory: [], retriesPerAction: 3,
+		hasOrganisations: true, identified: [], withdrawal: undefined, recordedHeaders: new Map(), ended: [], ...changes,
 	};
 }
 
--- a/standins/upstream/src/upstream-server.ts
+++ b/standins/upstream/src/upstream-server.ts
@@ -51,6 +51,8 @@
 	readonly behaviours: readonly Behaviour[];
 	/** HOST:PORT on which the upstream's node accepts callers. */
 	readonly node: string;
+	/** Regular expression for `NAME: VALUE`; the headers of requests that match are recorded and offered at `/control/headers`. */
+	readonly recordedHeaders?: string;
 };
 
 /** What the answer to a processed request depends on. */
@@ -72,6 +74,8 @@
 	readonly byPath: Map<string, number>;
 	/** Started requests by x-request-id. */
 	readonly byRequest: Map<string, number>;
+	/** Recorded headers of started requests by x-request-id, without repetitions. */
+	readonly headersByRequest: Map<string, ReadonlySet<string>>;
 };
 
 /**
@@ -84,7 +88,7 @@
  */
 export class UpstreamServer {
 	readonly counters: UpstreamCounters = {
-		started: 0, finished: 0, cancelled: 0, shed: 0, byKey: new Map(), byPath: new Map(), byRequest: new Map(),
+		started: 0, finished: 0, cancelled: 0, shed: 0, byKey: new Map(), byPath: new Map(), byRequest: new Map(), headersByRequest: new Map(),
 	};
 
 	fault = UpstreamFault.None;
@@ -215,6 +219,19 @@
 		increment(byPath, path);
 		increment(byKey, request.headers['idempotency-key']);
 		increment(byRequest, request.headers['x-request-id']);
+		this.#recordHeaders(request);
+	}
+
+	#recordHeaders({rawHeaders, headers}: IncomingMessage): void {
+		const {recordedHeaders} = this.#definition;
+		if (recordedHeaders === undefined) {
+			return;
+		}
+
+		const pattern = new RegExp(recordedHeaders, 'u');
+		const lines = rawHeaders.flatMap((name, index) => index % 2 === 0 ? [`${name.toLowerCase()}: ${rawHeaders[index + 1]}`] : []).filter(line => pattern.test(line));
+		const id = String(headers['x-request-id']);
+		this.counters.headersByRequest.set(id, new Set([...this.counters.headersByRequest.get(id) ?? [], ...lines]));
 	}
 
 	/**
@@ -305,8 +322,10 @@
 				byKey: undefined,
 				byPath: Object.fromEntries(this.counters.byPath),
 				byRequest: undefined,
+				headersByRequest: undefined,
 			}),
 			'/control/requests': () => Object.fromEntries(this.counters.byRequest),
+			'/control/headers': () => Object.fromEntries([...this.counters.headersByRequest].map(([id, lines]) => [id, [...lines]])),
 		};
 		const result = handlers[url]?.();
 		response.writeHead(result === undefined ? 404 : 200, {'content-type': 'application/json'});
