Make incomplete bodies an option of the soak

Cause: bodies in one-byte chunks lengthen the turns of the event loop, of which each accepts one connection, so that stopping nodes reset more connections that wait to be accepted.

--- a/demo/src/run-soak.ts
+++ b/demo/src/run-soak.ts
@@ -10,7 +10,7 @@
 import {cac} from 'cac';
 import {runSoak, type SoakReport} from './soak.js';
 
-type Options = {readonly seed: number; readonly seeds: number; readonly seconds: number; readonly instances: number; readonly organisations?: boolean; readonly keep?: string};
+type Options = {readonly seed: number; readonly seeds: number; readonly seconds: number; readonly instances: number; readonly organisations?: boolean; readonly incompleteBodies?: boolean; readonly keep?: string};
 
 const cli = cac('run-soak');
 cli.command('', 'Run soaks of real processes and print the violations')
@@ -19,6 +19,7 @@
 	.option('--seconds <number>', 'Seconds of load', {default: 15})
 	.option('--instances <number>', 'Instances of each service', {default: 3})
 	.option('--organisations', 'Use a manifest with organisations, whose keys callers send, in place of one with idempotency keys')
+	.option('--incomplete-bodies', 'Send bodies that stop short of their end or arrive in very small chunks beside the other requests')
 	.option('--keep <folder>', 'Folder for the reports of seeds with violations')
 	.action(async (options: Options) => {
 		const seeds = Array.from({length: options.seeds}, (_, index) => Number(options.seed) + index);
@@ -40,10 +41,10 @@
 	return await runAll(others, options) + (isClean ? 0 : 1);
 }
 
-async function runOne(seed: number, {seconds, instances, organisations, keep}: Options): Promise<boolean> {
+async function runOne(seed: number, {seconds, instances, organisations, incompleteBodies, keep}: Options): Promise<boolean> {
 	try {
 		const report = await runSoak({
-			seed, seconds, instancesPerService: instances, hasOrganisations: organisations === true,
+			seed, seconds, instancesPerService: instances, hasOrganisations: organisations === true, hasIncompleteBodies: incompleteBodies === true,
 		});
 		const isClean = report.violations.length === 0;
 		if (keep !== undefined && !isClean) {
--- a/demo/src/soak.ts
+++ b/demo/src/soak.ts
@@ -63,6 +63,11 @@
 	 * services, and payments have idempotency keys, which manifests of routes do not know.
 	 */
 	readonly hasOrganisations?: boolean;
+	/**
+	 * Whether other callers send bodies that stop short of their end or arrive in very small chunks. These lengthen the turns of
+	 * the nodes' event loops, each of which accepts one connection.
+	 */
+	readonly hasIncompleteBodies?: boolean;
 };
 
 /** Results of a soak. */
@@ -185,11 +190,11 @@
 		});
 	}
 
-	/** Sends requests with other keys than the ordinary callers, and incomplete bodies, until the signal is aborted. */
+	/** Sends requests with other keys than the ordinary callers, and incomplete bodies, where the soak has them, until the signal is aborted. */
 	async #sendBeside(signal: AbortSignal): Promise<void> {
 		await Promise.all([
 			this.#hasOrganisations ? this.#identifiedCallers.sendUntil(signal, windows, SoakPhase.Faults) : undefined,
-			sendIncompleteBodies(this.#system.instances, signal),
+			this.#definition.hasIncompleteBodies === true ? sendIncompleteBodies(this.#system.instances, signal) : undefined,
 		]);
 	}
 
