Send no calls to an upstream whose node has no manifest

Cause: a node that had just started was announced as ready to its peers as soon as its upstream was, and served their calls before it had a manifest. Change: a ready upstream counts as starting until a manifest is in force. Result: the new test failed before ("starting" expected, "ready" found).

--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -118,6 +118,7 @@
 			membership: this.#membership,
 			atMostOnce: this.#atMostOnce,
 			flow: this.#flow,
+			hasManifest: () => this.#manifest.current !== undefined,
 			slotShare: definition.slotShare ?? 1,
 			handleMembershipEffects: (effects, now) => this.#handleMembershipEffects(effects, now),
 			onServiceAnnounced: () => {
@@ -306,7 +307,7 @@
 		this.#updateAtMostOnceService();
 		const broadcast = this.#handleMembershipEffects(this.#membership.broadcast({topic: manifestTopic, version: revision.number}), now);
 		const event = this.#event({type: EventType.ManifestAdopted, detail: `revision ${revision.number}`, ...describeIssues(revision)});
-		return [event, ...broadcast, ...this.#resumeHeldRequests(now)];
+		return [event, ...broadcast, ...this.#lifecycle.manifestAdopted(now), ...this.#resumeHeldRequests(now)];
 	}
 
 	/** Processes a statement of the store or of another node that a revision is the newest. A node that lacks it pulls it. */
--- a/packages/core/src/node/upstream-lifecycle.ts
+++ b/packages/core/src/node/upstream-lifecycle.ts
@@ -32,6 +32,8 @@
 	readonly membership: Membership;
 	readonly atMostOnce: AtMostOnceCoordinator;
 	readonly flow: CallFlow;
+	/** Whether a manifest is in force. Without one the node refuses the calls that its upstream makes. */
+	readonly hasManifest: () => boolean;
 	/** Largest share of the announced slots that is used. */
 	readonly slotShare: number;
 	readonly handleMembershipEffects: (effects: readonly MembershipEffect[], now: number) => NodeEffect[];
@@ -89,8 +91,12 @@
 
 		const changed = membership.updateOwn({service: announcement.service, slots: announcement.slots}, now);
 		onServiceAnnounced();
-		const state = this.#isDraining ? UpstreamState.Draining : announcedStates[announcement.state];
-		return [{type: NodeEffectType.UpstreamAnnounced, announcement}, ...handleMembershipEffects(changed, now), ...this.#setState(state, now)];
+		return [{type: NodeEffectType.UpstreamAnnounced, announcement}, ...handleMembershipEffects(changed, now), ...this.#setState(this.#stateOf(announcement.state), now)];
+	}
+
+	/** Applies the announced state, which has had no full effect while there was no manifest. */
+	manifestAdopted(now: number): NodeEffect[] {
+		return this.#announcedState === undefined ? [] : this.#setState(this.#stateOf(this.#announcedState), now);
 	}
 
 	/**
@@ -126,6 +132,15 @@
 		return isExpired ? this.#stopSendingCalls(now) : [];
 	}
 
+	/** Until a manifest is in force, the upstream gets no calls, since the calls that it makes on behalf of them would fail. */
+	#stateOf(announced: AnnouncedState): UpstreamState {
+		if (this.#isDraining) {
+			return UpstreamState.Draining;
+		}
+
+		return announced === AnnouncedState.Ready && !this.#dependencies.hasManifest() ? UpstreamState.Starting : announcedStates[announced];
+	}
+
 	#stopSendingCalls(now: number): NodeEffect[] {
 		this.#announcedState = undefined;
 		return this.#setState(UpstreamState.Draining, now);
--- a/packages/core/src/tests/node-core.test.ts
+++ b/packages/core/src/tests/node-core.test.ts
@@ -67,6 +67,21 @@
 	},
 }) as {manifest: Manifest};
 
+/** Guards against work whose nested calls fail: a node that has just started refuses them until it has a manifest. */
+test('an upstream that is ready gets no calls of other nodes before its node has a manifest', async t => {
+	const node = new NodeCore(definition);
+	const announcement = {
+		service: 's', slots: 4, state: AnnouncedState.Ready, load: undefined,
+	};
+	node.upstreamAnnounced(announcement, 0);
+	t.equal(node.own.state, UpstreamState.Starting);
+	node.manifestArrived({number: 1, document: '', manifest}, 10);
+	t.equal(node.own.state, UpstreamState.Ready);
+	node.startDraining(20);
+	node.manifestArrived({number: 2, document: '', manifest}, 30);
+	t.equal(node.own.state, UpstreamState.Draining);
+});
+
 /** A node whose upstream runs a call of another node. */
 function startServingNode(): NodeCore {
 	const node = new NodeCore(definition);
