--- a/demo/src/system.ts
+++ b/demo/src/system.ts
@@ -30,6 +30,8 @@
 		readonly bodyBytes?: number;
 		readonly calls?: ReadonlyArray<{readonly method: string; readonly service: string; readonly path: string}>;
 	}>;
+	/** Headers of requests that the upstreams record, as a regular expression for `NAME: VALUE`. */
+	readonly recordedHeaders?: string;
 };
 
 export type SystemDefinition = {
@@ -56,6 +58,7 @@
 	/** Address of the port of the node's metrics, which also explains requests. */
 	readonly metrics: string;
 	readonly upstreamAddress: string;
+	readonly metricsAddress: string;
 	readonly settingsFile: string;
 	node: StartedProcess;
 	readonly upstream: StartedProcess;
@@ -155,6 +158,7 @@
 		control: `127.0.0.1:${controlPort}`,
 		metrics: `127.0.0.1:${metrics}`,
 		upstreamAddress: `127.0.0.1:${upstreamPort}`,
+		metricsAddress: `127.0.0.1:${metrics}`,
 		settingsFile,
 		node,
 		upstream,
