--- a/packages/node/src/tests/share-metrics.test.ts
+++ b/packages/node/src/tests/share-metrics.test.ts
@@ -9,7 +9,7 @@
 		admission: {
 			capacity: 1, inFlight: 0, waiting: 0, level: 0, shares,
 		},
-		manifestWatch: {age: () => 0}, membership: {others: []}, manifest: undefined, atMostOnce: {memory: {claims: 0}}, placementChoices: new Map(),
+		manifestWatch: {age: () => 0}, membership: {others: []}, manifest: undefined, atMostOnce: {memory: {claims: 0}}, placementChoices: new Map(), earlyRefusals: new Map(),
 		quotas: {
 			counts: {
 				admitted: 0, refused: 0, owned: 0, stock: 0,
