--- a/packages/core/src/organisations/quota-coordinator.ts
+++ b/packages/core/src/organisations/quota-coordinator.ts
@@ -141,6 +141,7 @@
 		const members = this.#members.copy();
 		const preview = new QuotaCoordinator({...this.#definition, random}, members, this.#owners.copyOf(organisation, members));
 		preview.#quotas = this.#quotas;
+		preview.#startedAt = this.#startedAt;
 		preview.#incarnation = this.#incarnation;
 		preview.#series = this.#series;
 		preview.#stamp = this.#stamp;
