Halve only the overdraft under notice after a start

Without counting the members that have left, a random schedule exceeded the bound (quotas.test), so that these count for both.

--- a/packages/core/src/organisations/quota-coordinator.ts
+++ b/packages/core/src/organisations/quota-coordinator.ts
@@ -212,7 +212,7 @@
 		return {
 			random: this.#definition.random,
 			requestsPerSecond: () => this.#quotas.get(organisation)!.requestsPerSecond,
-			overdraft: now => overdraftOf(this.#quotas.get(organisation)!, this.#admittingCount(now)),
+			overdraft: now => overdraftOf(this.#quotas.get(organisation)!, this.#members.admittingCount(now), this.#admittingCount(now)),
 			regularMilliseconds: () => this.#regularMilliseconds,
 			fetchLocally: (opened, account, at) => {
 				this.#fetchLocally({
--- a/packages/core/src/organisations/quota.ts
+++ b/packages/core/src/organisations/quota.ts
@@ -84,11 +84,12 @@
  * The overdraft of each node. With many nodes the usual one of all nodes together exceeds the tolerance, because a node
  * without any would refuse its first request; the owners then state when their tokens are low.
  *
+ * @param admittingNodes - nodes that have admitted requests within the last seconds, and share the tolerance
  * @example
  * overdraftOf({requestsPerSecond: 100, burst: 50}, 67); // {usual: 9, low: 1}
  */
-export function overdraftOf(quota: Quota, nodes: number): Overdraft {
-	const low = Math.floor(remainingToleranceOf(quota) / Math.max(1, nodes));
+export function overdraftOf(quota: Quota, nodes: number, admittingNodes = nodes): Overdraft {
+	const low = Math.floor(remainingToleranceOf(quota) / Math.max(1, admittingNodes));
 	const fitting = Math.floor(boundOf(quota) * overdraftShare / Math.max(1, nodes));
 	return {low, usual: Math.max(low, Math.min(fewRequests + Math.floor(quota.requestsPerSecond * replySeconds), Math.max(1, fitting)))};
 }
