--- a/review/lib-2/instance.mjs
+++ b/review/lib-2/instance.mjs
@@ -106,7 +106,7 @@
 			});
 			request.on('timeout', () => request.destroy(new Error('timeout')));
 			request.on('error', () => {
-				setTimeout(resolve, 100, false);
+				setTimeout(resolve, 20, false);
 			});
 			request.end(body);
 		});
