--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -8,9 +8,12 @@
  */
 import {appendFileSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
+import process from 'node:process';
 import {Platform} from '../lib-2/platform.mjs';
 import {Instance, work} from '../lib-2/instance.mjs';
-import {ask, askReady, Deployment, pause, terms, toConfig, until} from '../lib-2/deployment.mjs';
+import {
+	ask, areReady, isReady, Deployment, pause, terms, toConfig, until,
+} from '../lib-2/deployment.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const recordFile = path.join(import.meta.dirname, 'record.txt');
@@ -46,10 +49,12 @@
 }
 
 record(`exit ${code}`);
-process.exit(code);
+process.exit(code); // eslint-disable-line unicorn/no-process-exit
 
 async function startMachine(name, host, zone, service) {
-	const machine = await deployment.machine({name, host, zone, service});
+	const machine = await deployment.machine({
+		name, host, zone, service,
+	});
 	const instance = new Instance({
 		id: `i-${name}`, host, zone, service, control: machine.control, slots, work: async (_run, _request, _body, signal) => work(workMilliseconds, signal),
 	});
@@ -64,7 +69,7 @@
 	const orders = await Promise.all(Array.from({length: orderInstances}, async (_item, index) => startMachine(`orders-${index + 1}`, `127.0.0.${31 + index}`, index % 2 === 0 ? 'z2' : 'z3', 'orders')));
 	const all = [gate, ...orders];
 	instances.map(instance => instance.announce());
-	await until(async () => (await Promise.all(all.map(({machine}) => askReady(machine)))).every(status => status === 200), 15_000, 'all nodes ready');
+	await until(() => areReady(all.map(({machine}) => machine)), 15_000, 'all nodes ready');
 	await until(() => instances.every(({announcements}) => announcements.some(entry => isAcknowledged(entry))), 10_000, 'all instances announced');
 
 	const answers = [];
@@ -72,7 +77,11 @@
 	const send = async () => {
 		sent += 1;
 		const id = `c${sent}`;
-		answers.push({id, ...await ask(gate.machine, {id, host: 'shop.example', path: `/orders/${sent}`, method: 'POST', body: `order ${sent}`})});
+		answers.push({
+			id, ...await ask(gate.machine, {
+				id, host: 'shop.example', path: `/orders/${sent}`, method: 'POST', body: `order ${sent}`,
+			}),
+		});
 	};
 
 	const traffic = setInterval(send, sendInterval);
@@ -103,7 +112,7 @@
 
 	const heardAt = since().find(entry => isAcknowledged(entry)).answeredAt;
 	record(`a heartbeat (ready) was acknowledged ${heardAt - restartedAt} ms after the start`);
-	await until(async () => await askReady(leaving.machine) === 200, 10_000, 'the node is ready again');
+	await until(async () => isReady(leaving.machine), 10_000, 'the node is ready again');
 	record(`the node is ready ${Date.now() - restartedAt} ms after the start`);
 	await pause(Math.max(0, heardAt + noticeMilliseconds - Date.now()));
 	const acknowledgedAt = await instance.drain();
@@ -130,7 +139,7 @@
 	record(`requests that reached i-orders-1 later than drainS = ${terms.drainS} s after the acknowledgement and over stabilityS = ${terms.stabilityS} s after the restart: ${late.length}`);
 	late.map(({id, startedAt}) => record(`  ${id}: ${startedAt - acknowledgedAt} ms after the acknowledgement`));
 	record(`nodes that ended by themselves: ${all.filter(({node}) => node.ended !== undefined).length}`);
-	const lines = deployment.log('orders-1').split('\n').filter(line => /"(?:probed|upstream-doubted|announcement-passed-over|manifest-adopted)"/u.test(line)).slice(-8);
+	const lines = deployment.log('orders-1').split('\n').filter(line => /"(?:probed|upstream-doubted|announcement-passed-over|manifest-adopted)"/v.test(line)).slice(-8);
 	record(`log of the node beside i-orders-1 since the restart:\n${lines.map(line => `      ${line}`).join('\n')}`);
 	return late.length > 0 ? 1 : 0;
 }
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -2,11 +2,15 @@
  * Starts the nodes of a small deployment as the platform does: the line `run` of deploy/system.toml, with the template of the
  * settings filled in, one loopback address for each machine.
  */
+import {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
-import {createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {request as sendRequest} from 'node:http';
 
 const root = path.resolve(import.meta.dirname, '../..');
@@ -26,8 +30,12 @@
 
 /** Fills in the placeholders of the template; it has no sections. */
 function render(template, values) {
-	return template.replaceAll(/\{\{([\w.]+)\}\}/gu, (_whole, name) => {
-		const value = name.split('.').reduce((part, key) => part?.[key], values);
+	return template.replaceAll(/\{\{([\w.]+)\}\}/gv, (_whole, name) => {
+		let value = values;
+		for (const key of name.split('.')) {
+			value = value?.[key];
+		}
+
 		return value === undefined ? '' : String(value);
 	});
 }
@@ -62,7 +70,7 @@
 		const template = readFileSync(path.join(root, 'deploy/settings.yaml'), 'utf8');
 		// A machine of its own has the fixed port of the metrics; here the machines share one kernel and differ in their addresses.
 		writeFileSync(file, render(template, values).replace('metrics: 9464', `metrics: ${machine.metrics}`));
-		const line = /^run = "(?<run>[^"]+)"/mu.exec(readFileSync(path.join(root, 'deploy/system.toml'), 'utf8')).groups.run;
+		const line = /^run = "(?<run>[^"]+)"/mv.exec(readFileSync(path.join(root, 'deploy/system.toml'), 'utf8')).groups.run;
 		const [program, ...parameters] = line.replace('/etc/laburnumspool/node.toml', file).split(' ');
 		const log = createWriteStream(path.join(this.#folder, `${name}.log`), {flags: 'a'});
 		const child = spawn(path.join(root, program), parameters, {cwd: root, env: {PATH: process.env.PATH, HOME: this.#folder, LABURNUMSPOOL_BOOT: file}, stdio: ['ignore', 'pipe', 'pipe']});
@@ -95,7 +103,9 @@
 export async function askReady({ready}, timeout = 1000) {
 	const [host, port] = ready.split(':');
 	return new Promise(resolve => {
-		const request = sendRequest({host, port, path: '/laburnumspool/v1/health', agent: false, timeout}, response => {
+		const request = sendRequest({
+			host, port, path: '/laburnumspool/v1/health', agent: false, timeout,
+		}, response => {
 			response.resume();
 			resolve(response.statusCode);
 		});
@@ -105,6 +115,16 @@
 	});
 }
 
+export async function isReady(machine) {
+	const status = await askReady(machine);
+	return status === 200;
+}
+
+export async function areReady(machines) {
+	const states = await Promise.all(machines.map(machine => isReady(machine)));
+	return states.every(Boolean);
+}
+
 export async function until(test, milliseconds, what) {
 	const end = Date.now() + milliseconds;
 	while (!await test()) { // eslint-disable-line no-await-in-loop
@@ -128,7 +148,9 @@
 		const end = result => resolve({...result, milliseconds: Date.now() - startedAt});
 		const request = sendRequest({
 			host: address, port, method, path: target, agent, signal, localAddress,
-			headers: {host, 'laburnumspool-request-id': id, 'laburnumspool-request-deadline': deadline, ...headers, ...(body === undefined ? {} : {'content-length': Buffer.byteLength(body)})},
+			headers: {
+				host, 'laburnumspool-request-id': id, 'laburnumspool-request-deadline': deadline, ...headers, ...(body === undefined ? {} : {'content-length': Buffer.byteLength(body)}),
+			},
 		}, response => {
 			const parts = [];
 			response.on('data', part => parts.push(part));
@@ -149,7 +171,11 @@
 		routes: Object.fromEntries(Object.entries(routes).map(([name, {service, semantics = 'idempotent', wait = 4000, rank = 1, attempts = 2}]) => [name, {
 			host: 'shop.example', prefix: `/${name}/`, semantics, waitMilliseconds: wait, objectiveMilliseconds: 1500, rank, service, attempts,
 		}])),
-		services: Object.fromEntries(services.map(service => [service, {healthPath: '/health', connections: 1054, protocol: 'h1', tls: false}])),
-		limits: {headerBytes: 16_384, bodyBytes: 67_108_864, headerMilliseconds: 3000, idleMilliseconds: 15_000},
+		services: Object.fromEntries(services.map(service => [service, {
+			healthPath: '/health', connections: 1054, protocol: 'h1', tls: false,
+		}])),
+		limits: {
+			headerBytes: 16_384, bodyBytes: 67_108_864, headerMilliseconds: 3000, idleMilliseconds: 15_000,
+		},
 	});
 }
--- a/review/lib-2/instance.mjs
+++ b/review/lib-2/instance.mjs
@@ -3,6 +3,7 @@
  * with the request id, its signature and its load, drops a request whose connection closes, answers health checks and
  * announces itself to the control address of its own machine.
  */
+import {Buffer} from 'node:buffer';
 import {createServer, request as sendRequest} from 'node:http';
 
 export const heartbeatMilliseconds = 1500;
@@ -29,7 +30,7 @@
 
 	async start() {
 		this.#server = createServer((request, response) => {
-			void this.#receive(request, response);
+			this.#receive(request, response);
 		});
 		this.#server.keepAliveTimeout = 60_000;
 		await new Promise(resolve => {
@@ -41,7 +42,7 @@
 	/** Sends heartbeats from now on. */
 	announce() {
 		const beat = () => {
-			void this.sendBeat(this.nextBeat());
+			this.sendBeat(this.nextBeat());
 		};
 
 		beat();
@@ -73,7 +74,7 @@
 
 		const at = Date.now();
 		this.#timer = setInterval(() => {
-			void this.sendBeat(this.nextBeat());
+			this.sendBeat(this.nextBeat());
 		}, heartbeatMilliseconds);
 		return at;
 	}
@@ -148,14 +149,18 @@
 		}
 
 		this.#running += 1;
-		const run = {id: requestId, path: request.url, startedAt: Date.now(), how: 'running'};
+		const run = {
+			id: requestId, path: request.url, startedAt: Date.now(), how: 'running',
+		};
 		this.runs.push(run);
 		const abort = new AbortController();
 		response.once('close', () => abort.abort());
 		try {
 			const {status = 200, body = `ran ${requestId}`} = await this.#definition.work(run, request, Buffer.concat(parts), abort.signal) ?? {};
 			run.how = response.destroyed ? 'dropped' : `answered ${status}`;
-			response.writeHead(status, {...common, 'laburnumspool-server-load': this.#load, 'laburnumspool-response-signature': `s.${requestId}`, 'content-length': Buffer.byteLength(body)});
+			response.writeHead(status, {
+				...common, 'laburnumspool-server-load': this.#load, 'laburnumspool-response-signature': `s.${requestId}`, 'content-length': Buffer.byteLength(body),
+			});
 			response.end(body);
 		} catch {
 			run.how = 'dropped';
--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -2,6 +2,7 @@
  * Stand-in for the platform's metadata store (PROTOCOL.md), with the names of deploy/wire.toml, as `fleetbench wire` shows them.
  * It is sound: it loses nothing that it has acknowledged, and its answers are linearizable.
  */
+import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 
 export class Platform {
@@ -69,7 +70,7 @@
 		}
 
 		if (call === 'kv-range') {
-			const items = [...this.#items.values()].filter(item => item.key.startsWith(query.get('prefix')) && item.key > (query.get('after') ?? '')).sort((left, right) => left.key < right.key ? -1 : 1);
+			const items = [...this.#items.values()].filter(item => item.key.startsWith(query.get('prefix')) && item.key > (query.get('after') ?? '')).toSorted((left, right) => left.key < right.key ? -1 : 1);
 			return {status: 200, body: {items: items.slice(0, 500), truncated: items.length > 500, asOf: this.#revision}};
 		}
 
@@ -139,7 +140,9 @@
 	#put(key, value, lease) {
 		this.#revision += 1;
 		const created = this.#items.get(key)?.created ?? this.#revision;
-		const item = {key, value, revision: this.#revision, created, lease};
+		const item = {
+			key, value, revision: this.#revision, created, lease,
+		};
 		this.#items.set(key, item);
 		this.#record(item);
 	}
